--- a/source/common/bounded_ring.h
+++ b/source/common/bounded_ring.h
@@ -82,6 +82,13 @@
         }
     }
 
+    /// False once close() was called.
+    bool is_open() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return !m_closed;
+    }
+
     std::size_t size() const
     {
         const std::scoped_lock lock(m_mutex);
--- /dev/null
+++ b/source/instance/caller_front.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "instance/events.h"
+
+namespace poplarshed::instance {
+
+struct front_options {
+    std::string address;          ///< "ip:port" for callers
+    std::string ready_address;    ///< "ip:port" for readiness; empty: not served
+    std::string metrics_address;  ///< "ip:port" for metrics; empty: not served
+    std::string ready_path = "/readyz";
+    std::string time_limit_header;
+    std::string request_id_header = "Request-Id";
+    std::size_t max_body_bytes = std::size_t{1} << 20U;
+};
+
+/// HTTP listeners. Threads of theirs hand requests to the core thread; any thread may answer.
+class caller_front {
+public:
+    using metrics_source = std::function<std::string()>;
+
+    caller_front(front_options options, core_inbox& inbox, metrics_source metrics);
+    caller_front(const caller_front&) = delete;
+    caller_front& operator=(const caller_front&) = delete;
+    ~caller_front();
+
+    /// @returns why a listener failed; the metrics listener may fail without effect
+    std::optional<error> listen();
+    /// Answers a request. @param close the connection is to be used no more
+    void respond(routing::caller_id caller, const caller_answer& answer, bool close);
+    void set_ready(bool ready);
+    std::size_t waiting() const;
+    void shutdown();
+
+private:
+    class handler;
+    class control_handler;
+    class writer_table;
+    class listener;
+
+    front_options m_options;
+    core_inbox& m_inbox;
+    metrics_source m_metrics;
+    std::shared_ptr<writer_table> m_writers;
+    std::shared_ptr<std::atomic<bool>> m_ready;
+    std::vector<std::unique_ptr<listener>> m_listeners;
+};
+
+}  // namespace poplarshed::instance
--- /dev/null
+++ b/source/instance/store_link.cpp
@@ -0,0 +1,371 @@
+#include "instance/store_link.h"
+
+#include <algorithm>
+
+#include "json/json.h"
+
+namespace poplarshed::instance {
+
+namespace {
+
+// A watch is held this long, so that a connection that has gone silent is noticed within the time in which a
+// configuration must be in force.
+constexpr milliseconds watch_wait{1500};
+constexpr milliseconds feed_retry{250};
+// Workers write their entries often; a pause between watches lets one call return the changes of many. A fifth
+// of the time within which a leaving worker must get no more work.
+constexpr milliseconds workers_pause{400};
+// Entries that lapsed during an outage of the store are back within two seconds of its return.
+constexpr milliseconds vanished_time{2300};
+// The least lease that the store grants is one second; three renewals fit into this one.
+constexpr milliseconds lease_ttl{1500};
+constexpr milliseconds renew_interval{450};
+constexpr milliseconds lease_retry{300};
+// The store counts as away after two renewals without an answer.
+constexpr milliseconds away_after{1100};
+constexpr milliseconds rewrite_interval{500};
+// A call has failed within this time: removals may be due to the outage.
+constexpr milliseconds recent_outage{4000};
+constexpr std::size_t max_record_bytes = 4096;
+
+}  // namespace
+
+store_link::store_link(options values, const protocol& protocol)
+    : m_options(std::move(values)), m_protocol(protocol), m_own_prefix(protocol.own_prefix())
+{
+    m_feeds[0].prefix = protocol.configuration_key();
+    m_feeds[1].prefix = protocol.workers_prefix();
+    m_feeds[2].prefix = m_own_prefix;
+}
+
+std::string store_link::record_value() const
+{
+    return json::value{{"address", m_options.address.value()}, {"data_centre", m_options.data_centre.value()}}
+        .dump();
+}
+
+std::vector<store_call> store_link::due(time_point now)
+{
+    using purpose = store_call::purpose;
+    std::vector<store_call> calls;
+    forget_vanished(now);
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        feed& item = m_feeds.at(i);
+        if (item.pending || now < item.next_try) {
+            continue;
+        }
+        item.pending = true;
+        if (item.state == feed_state::watching) {
+            calls.push_back({purpose::watch, i, {}, m_protocol.watch_items(item.prefix, item.revision, watch_wait)});
+        } else {
+            item.state = feed_state::listing;
+            calls.push_back({purpose::list, i, {}, m_protocol.list_items(item.prefix, item.after)});
+        }
+    }
+    if (!m_lease_pending && now >= m_next_lease) {
+        m_lease_pending = true;
+        m_next_lease = now + renew_interval;
+        calls.push_back(m_lease ? store_call{purpose::renew, 0, {}, m_protocol.renew_lease(*m_lease)}
+                                : store_call{purpose::grant, 0, {}, m_protocol.grant_lease(lease_ttl)});
+    }
+    if (!m_lease || !current(now)) {
+        return calls;
+    }
+    const auto rewrite = [&](const std::string& key) {
+        time_point& last = m_rewritten[key];
+        const auto known = m_items.find(key);
+        if (known != m_items.end() || now < last + rewrite_interval) {
+            return;
+        }
+        last = now;
+        calls.push_back({purpose::write, 0, key, m_protocol.write_item({key, record_value(), *m_lease, 0})});
+    };
+    if (!m_recorded && !m_record_pending) {
+        m_record_pending = true;
+        m_rewritten[instance_key()] = now;
+        calls.push_back(
+            {purpose::write, 0, instance_key(),
+             m_protocol.write_item({instance_key(), record_value(), *m_lease, std::nullopt})});
+    } else if (m_recorded) {
+        rewrite(instance_key());
+    }
+    for (const routing::pool_id& pool : m_held) {
+        rewrite(pool_key(pool));
+    }
+    return calls;
+}
+
+store_call store_link::claim(const routing::pool_id& pool, std::uint64_t expected_revision)
+{
+    const std::string key = pool_key(pool);
+    return {store_call::purpose::claim, 0, pool.value(),
+            m_protocol.write_item({key, record_value(), m_lease.value_or(0), expected_revision})};
+}
+
+std::optional<store_call> store_link::leave()
+{
+    if (!m_lease) {
+        return std::nullopt;
+    }
+    return store_call{store_call::purpose::end, 0, {}, m_protocol.end_lease(*m_lease)};
+}
+
+store_answer store_link::on_answer(time_point now, const store_call& call, const http::response& response)
+{
+    using purpose = store_call::purpose;
+    m_now = now;
+    if (call.kind == purpose::list || call.kind == purpose::watch) {
+        feed& item = m_feeds.at(call.feed);
+        item.pending = false;
+        call.kind == purpose::list ? on_items(now, item, response) : on_events(now, item, response);
+        return {};
+    }
+    const store_answer answer = m_protocol.decode_answer(response);
+    if (answer.status == store_status::failed) {
+        m_failed = now;
+    } else {
+        m_answered = now;
+    }
+    if (call.kind == purpose::grant || call.kind == purpose::renew) {
+        m_lease_pending = false;
+        if (answer.status == store_status::lease_lapsed) {
+            m_lease.reset();
+            m_recorded = false;
+            m_next_lease = now;
+        } else if (answer.status == store_status::failed) {
+            m_next_lease = now + lease_retry;
+        } else if (call.kind == purpose::grant) {
+            m_lease = answer.lease;
+            m_recorded = false;
+        }
+    } else if (call.kind == purpose::write && call.key == instance_key()) {
+        m_record_pending = false;
+        m_recorded = m_recorded || answer.status == store_status::done;
+    }
+    if (answer.status == store_status::lease_lapsed) {
+        m_lease.reset();
+        m_recorded = false;
+    }
+    return answer;
+}
+
+void store_link::on_items(time_point now, feed& item, const http::response& response)
+{
+    auto page = m_protocol.decode_items(response);
+    if (!page) {
+        m_failed = now;
+        item.next_try = now + feed_retry;
+        item.after.clear();
+        item.page.clear();
+        return;
+    }
+    m_answered = now;
+    auto& items = page.value().items;
+    if (item.after.empty()) {
+        // Changes after the first page are seen by the watch, which begins there.
+        item.revision = page.value().revision;
+    }
+    item.page.insert(item.page.end(), items.begin(), items.end());
+    if (page.value().more && !items.empty()) {
+        item.after = items.back().key;
+        return;
+    }
+    replace(now, item);
+    item.after.clear();
+    item.page.clear();
+    item.state = feed_state::watching;
+    item.listed = true;
+    item.answered = now;
+}
+
+void store_link::replace(time_point now, feed& item)
+{
+    std::map<std::string, bool> present;
+    for (const store_item& one : item.page) {
+        present[one.key] = true;
+        apply(one);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, one] : m_items) {
+        if (key.starts_with(item.prefix) && !present.contains(key)) {
+            missing.push_back(key);
+        }
+    }
+    const bool workers = item.prefix == m_protocol.workers_prefix();
+    for (const std::string& key : missing) {
+        if (workers) {
+            m_vanished.try_emplace(key, now);
+        } else {
+            m_items.erase(key);
+            mark(key);
+        }
+    }
+}
+
+void store_link::forget_vanished(time_point now)
+{
+    for (auto position = m_vanished.begin(); position != m_vanished.end();) {
+        if (reachable(now) && now > position->second + vanished_time) {
+            m_items.erase(position->first);
+            mark(position->first);
+            position = m_vanished.erase(position);
+        } else {
+            ++position;
+        }
+    }
+}
+
+void store_link::on_events(time_point now, feed& item, const http::response& response)
+{
+    auto page = m_protocol.decode_items(response);
+    if (!page) {
+        item.next_try = now + feed_retry;
+        m_failed = now;
+        if (page.error() == store_status::history_lost) {
+            m_failed = m_answered;
+            item.next_try = now;
+        }
+        // What was missed meanwhile is found by listing anew.
+        item.state = feed_state::idle;
+        return;
+    }
+    m_answered = now;
+    item.answered = now;
+    for (const store_item& one : page.value().items) {
+        apply(one);
+    }
+    item.revision = std::max(item.revision, page.value().revision);
+    if (item.prefix == m_protocol.workers_prefix()) {
+        item.next_try = now + workers_pause;
+    }
+}
+
+void store_link::apply(const store_item& item)
+{
+    m_revision = std::max(m_revision, item.revision);
+    if (item.key == m_protocol.configuration_key()) {
+        if (!item.removed && item.revision > m_configuration.revision) {
+            m_configuration = item;
+            m_changes.configuration = true;
+        }
+        return;
+    }
+    const auto known = m_items.find(item.key);
+    if (known != m_items.end() && known->second.revision > item.revision) {
+        return;
+    }
+    if (item.removed) {
+        // Entries that lapse while the store is away come back soon after its return.
+        if (item.key.starts_with(m_protocol.workers_prefix()) && m_now < m_failed + recent_outage) {
+            m_vanished.try_emplace(item.key, m_now);
+            return;
+        }
+        m_items.erase(item.key);
+    } else {
+        m_vanished.erase(item.key);
+        m_items.insert_or_assign(item.key, item);
+    }
+    mark(item.key);
+}
+
+void store_link::mark(const std::string& key)
+{
+    (key.starts_with(m_own_prefix) ? m_changes.own : m_changes.workers) = true;
+}
+
+void store_link::on_relay(time_point now, const workers::directory_push& push)
+{
+    if (push.revision < m_revision || current(now)) {
+        return;
+    }
+    std::map<std::string, bool> present;
+    for (const workers::directory_item& item : push.items) {
+        present[item.key] = true;
+        apply({item.key, item.value, item.revision, false});
+    }
+    std::erase_if(m_items, [this, &present](const auto& item) {
+        if (present.contains(item.first)) {
+            return false;
+        }
+        mark(item.first);
+        return true;
+    });
+    m_revision = std::max(m_revision, push.revision);
+}
+
+workers::directory_push store_link::relay() const
+{
+    workers::directory_push push;
+    push.revision = m_revision;
+    if (!m_configuration.key.empty()) {
+        push.items.push_back({m_configuration.key, m_configuration.revision, m_configuration.value});
+    }
+    for (const auto& [key, item] : m_items) {
+        push.items.push_back({key, item.revision, item.value});
+    }
+    return push;
+}
+
+store_link::change store_link::take_changes()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::vector<store_item> store_link::worker_items() const
+{
+    std::vector<store_item> found;
+    for (const auto& [key, item] : m_items) {
+        if (key.starts_with(m_protocol.workers_prefix())) {
+            found.push_back(item);
+        }
+    }
+    return found;
+}
+
+std::vector<endpoint> store_link::instances() const
+{
+    std::vector<endpoint> found;
+    const std::string prefix = m_own_prefix + "instances/";
+    for (const auto& [key, item] : m_items) {
+        if (!key.starts_with(prefix)) {
+            continue;
+        }
+        const auto value = json::parse(item.value, key, {max_record_bytes});
+        if (value && value.value().is_object() && value.value().contains("address")) {
+            found.emplace_back(value.value()["address"].get<std::string>());
+        }
+    }
+    return found;
+}
+
+std::map<routing::pool_id, routing::pool_record> store_link::pool_records() const
+{
+    std::map<routing::pool_id, routing::pool_record> found;
+    const std::string prefix = m_own_prefix + "pools/";
+    for (const auto& [key, item] : m_items) {
+        if (!key.starts_with(prefix)) {
+            continue;
+        }
+        const auto value = json::parse(item.value, key, {max_record_bytes});
+        if (value && value.value().is_object() && value.value().contains("address")) {
+            found.emplace(routing::pool_id(key.substr(prefix.size())),
+                          routing::pool_record{endpoint(value.value()["address"].get<std::string>()),
+                                               item.revision});
+        }
+    }
+    return found;
+}
+
+bool store_link::reachable(time_point now) const
+{
+    return m_answered != time_point{} && now < m_answered + away_after;
+}
+
+bool store_link::current(time_point now) const
+{
+    return reachable(now) && std::all_of(m_feeds.begin(), m_feeds.end(), [now](const feed& item) {
+               return item.listed && now < item.answered + watch_wait + away_after;
+           });
+}
+
+}  // namespace poplarshed::instance
--- /dev/null
+++ b/source/instance/store_link.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "instance/protocol.h"
+
+namespace poplarshed::instance {
+
+/// Call of the store link. `kind` tells the link what an answer belongs to.
+struct store_call {
+    enum class purpose { list, watch, grant, renew, write, claim, end };
+
+    purpose kind = purpose::list;
+    std::size_t feed = 0;     ///< of list and watch
+    std::string key;          ///< of write and claim
+    http::request request;
+};
+
+/// Copy of the parts of the store that an instance needs, and its own lease. Decides when to call; the owner
+/// makes the calls. Not thread-safe.
+class store_link {
+public:
+    struct options {
+        std::string node;  ///< name of this instance
+        endpoint address;  ///< of this instance, for its peers
+        data_centre_id data_centre;
+    };
+
+    struct change {
+        bool configuration = false;
+        bool workers = false;
+        bool own = false;
+    };
+
+    store_link(options values, const protocol& protocol);
+
+    /// Calls that are due.
+    std::vector<store_call> due(time_point now);
+    /// Call that writes this instance's name to a pool's record.
+    store_call claim(const routing::pool_id& pool, std::uint64_t expected_revision);
+    /// Call that ends the lease, so that all records of this instance go at once.
+    std::optional<store_call> leave();
+    /// @returns the answer to a write or claim; `failed` for the other calls
+    store_answer on_answer(time_point now, const store_call& call, const http::response& response);
+    /// Takes the items that a peer relays. Older items than the known ones are left out.
+    void on_relay(time_point now, const workers::directory_push& push);
+    workers::directory_push relay() const;
+
+    /// What has changed since the last call.
+    change take_changes();
+    const std::string& configuration_value() const { return m_configuration.value; }
+    /// Values of the worker entries. An entry that vanished while the store was away stays for a short time.
+    std::vector<store_item> worker_items() const;
+    /// Addresses of the instances with a record.
+    std::vector<endpoint> instances() const;
+    std::map<routing::pool_id, routing::pool_record> pool_records() const;
+    /// The store answers, and every watch is in place.
+    bool current(time_point now) const;
+    bool reachable(time_point now) const;
+    std::uint64_t revision() const { return m_revision; }
+    std::optional<std::uint64_t> lease() const { return m_lease; }
+    /// Pools that this instance holds, whose records are written again under a new lease.
+    void set_held(std::vector<routing::pool_id> pools) { m_held = std::move(pools); }
+
+private:
+    enum class feed_state { idle, listing, watching };
+
+    struct feed {
+        std::string prefix;
+        feed_state state = feed_state::idle;
+        bool pending = false;
+        bool listed = false;  ///< at least once
+        std::string after;
+        std::uint64_t revision = 0;
+        std::vector<store_item> page;
+        time_point next_try;
+        time_point answered;
+    };
+
+    static constexpr std::size_t feed_count = 3;
+
+    void on_items(time_point now, feed& item, const http::response& response);
+    void on_events(time_point now, feed& item, const http::response& response);
+    void replace(time_point now, feed& item);
+    void apply(const store_item& item);
+    void mark(const std::string& key);
+    void forget_vanished(time_point now);
+    std::string instance_key() const { return m_own_prefix + "instances/" + m_options.node; }
+    std::string pool_key(const routing::pool_id& pool) const { return m_own_prefix + "pools/" + pool.value(); }
+    std::string record_value() const;
+
+    options m_options;
+    const protocol& m_protocol;
+    std::string m_own_prefix;
+    std::array<feed, feed_count> m_feeds;
+    std::map<std::string, store_item> m_items;
+    std::map<std::string, time_point> m_vanished;  ///< worker entries that a new list lacks
+    store_item m_configuration;
+    change m_changes;
+    std::uint64_t m_revision = 0;
+    time_point m_now;  ///< of the last answer
+    time_point m_answered;
+    time_point m_failed;
+    std::optional<std::uint64_t> m_lease;
+    bool m_lease_pending = false;
+    bool m_record_pending = false;
+    bool m_recorded = false;
+    time_point m_next_lease;
+    std::vector<routing::pool_id> m_held;
+    std::map<std::string, time_point> m_rewritten;
+};
+
+}  // namespace poplarshed::instance
--- /dev/null
+++ b/source/routing/ownership.cpp
@@ -0,0 +1,143 @@
+#include "routing/ownership.h"
+
+#include <algorithm>
+
+namespace poplarshed::routing {
+
+namespace {
+
+// Time for the statuses of all instances to arrive after a start.
+constexpr milliseconds settling_time{700};
+// An instance of another data centre waits this long for one of the pool's own.
+constexpr milliseconds foreign_delay{400};
+// Fallback where the store is away: the record cannot be changed, so the holder must be silent for longer.
+constexpr milliseconds storeless_delay{800};
+
+std::uint64_t preference(const pool_id& pool, const endpoint& address)
+{
+    return digest::of(pool.value() + '@' + address.value()).prefix();
+}
+
+}  // namespace
+
+std::vector<ownership_action> ownership::decide(time_point now, const ownership_view& view)
+{
+    std::vector<ownership_action> actions;
+    for (const auto& [pool, token] : m_held) {
+        if (must_drop(now, view, pool)) {
+            actions.emplace_back(drop_pool{pool});
+        }
+    }
+    if (view.leaving || now < m_started + settling_time) {
+        return actions;
+    }
+    for (const auto& [pool, entries] : view.pools) {
+        if (m_held.contains(pool) || m_claiming.contains(pool)) {
+            continue;
+        }
+        if (!may_claim(now, view, pool)) {
+            m_wanted_since.erase(pool);
+            continue;
+        }
+        const time_point since = m_wanted_since.try_emplace(pool, now).first->second;
+        const bool own = data_centre_of(pool) == view.peers.data_centre();
+        if (!own && now < since + foreign_delay) {
+            continue;
+        }
+        if (view.store_reachable) {
+            const auto record = view.records.find(pool);
+            m_claiming.insert(pool);
+            actions.emplace_back(claim_pool{pool, record == view.records.end() ? 0 : record->second.revision});
+        } else if (now >= since + storeless_delay) {
+            m_held.emplace(pool, next_token(view, pool));
+            actions.emplace_back(hold_pool{pool, m_held.at(pool)});
+        }
+    }
+    return actions;
+}
+
+bool ownership::must_drop(time_point now, const ownership_view& view, const pool_id& pool) const
+{
+    if (!view.pools.contains(pool)) {
+        return true;
+    }
+    endpoint best;
+    const workers::pool_load* load = view.peers.holder(now, pool, best);
+    if (load != nullptr && best != view.peers.self() && m_held.at(pool) < load->token) {
+        return true;
+    }
+    const auto record = view.records.find(pool);
+    return record != view.records.end() && record->second.holder != view.peers.self() &&
+           m_held.at(pool).value() < record->second.revision && view.peers.is_live(now, record->second.holder);
+}
+
+bool ownership::may_claim(time_point now, const ownership_view& view, const pool_id& pool) const
+{
+    const data_centre_id home = data_centre_of(pool);
+    const bool own = home == view.peers.data_centre();
+    const auto others = view.peers.live(now);
+    const auto record = view.records.find(pool);
+    bool held_elsewhere = false;
+    std::uint64_t best = preference(pool, view.peers.self());
+    for (const workers::instance_status* other : others) {
+        const bool holds = std::any_of(other->pools.begin(), other->pools.end(),
+                                       [&pool](const workers::pool_load& load) { return load.pool == pool; });
+        const bool at_home = other->data_centre == home;
+        if (holds && (at_home || !own)) {
+            return false;
+        }
+        held_elsewhere = held_elsewhere || holds;
+        if (at_home && !own) {
+            return false;
+        }
+        if (at_home == own) {
+            best = std::max(best, preference(pool, other->address));
+        }
+    }
+    if (best != preference(pool, view.peers.self())) {
+        return false;
+    }
+    const bool recorded =
+        record != view.records.end() && !(record->second.holder == view.peers.self()) && !held_elsewhere;
+    const auto silence = recorded ? view.peers.silence(now, record->second.holder) : std::nullopt;
+    const bool holder_leaves = recorded && silence && *silence <= silence_limit;
+    if (!recorded || holder_leaves) {
+        return view.peers.hears_most(now) || !recorded;
+    }
+    // The record lives while its holder renews its lease, so a cut between data centres moves no pool.
+    return own && view.peers.hears_most(now);
+}
+
+workers::fencing_token ownership::next_token(const ownership_view& view, const pool_id& pool) const
+{
+    std::uint64_t highest = 0;
+    const auto record = view.records.find(pool);
+    if (record != view.records.end()) {
+        highest = record->second.revision;
+    }
+    for (const auto& [address, item] : view.peers.all()) {
+        for (const workers::pool_load& load : item.status.pools) {
+            highest = load.pool == pool ? std::max(highest, load.token.value()) : highest;
+        }
+    }
+    return workers::fencing_token(highest + 1);
+}
+
+void ownership::on_claimed(const pool_id& pool, std::uint64_t revision)
+{
+    m_claiming.erase(pool);
+    m_held.insert_or_assign(pool, workers::fencing_token(revision));
+}
+
+void ownership::on_claim_failed(const pool_id& pool)
+{
+    m_claiming.erase(pool);
+}
+
+void ownership::on_dropped(const pool_id& pool)
+{
+    m_held.erase(pool);
+    m_wanted_since.erase(pool);
+}
+
+}  // namespace poplarshed::routing
--- /dev/null
+++ b/source/routing/peers.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "routing/types.h"
+
+namespace poplarshed::routing {
+
+/// Statuses are sent at this interval.
+inline constexpr milliseconds status_interval{60};
+/// A peer without a status for this time counts as down. Ten lost statuses, or a pause of the sender.
+inline constexpr milliseconds silence_limit{600};
+/// A peer that was heard in this time is expected to be there, for the count of those that should be heard.
+inline constexpr milliseconds remembered_time{30'000};
+
+/// What the instances say of themselves, and how long ago.
+class peer_table {
+public:
+    struct peer {
+        workers::instance_status status;
+        time_point heard;
+        bool reported_down = false;
+    };
+
+    explicit peer_table(endpoint self, data_centre_id data_centre);
+
+    void on_status(time_point now, const workers::instance_status& status);
+    /// The connection was closed or refused; the peer counts as silent until its next status.
+    void on_down(const endpoint& address);
+    /// Peers that have become silent since the last call.
+    std::vector<endpoint> newly_silent(time_point now);
+
+    bool is_live(time_point now, const endpoint& address) const;
+    /// Time since the last status; nothing for an unknown peer.
+    std::optional<milliseconds> silence(time_point now, const endpoint& address) const;
+    /// Live instances that are not leaving, this one excluded.
+    std::vector<const workers::instance_status*> live(time_point now) const;
+    /// True if at least half of the other instances that should be there are heard.
+    bool hears_most(time_point now) const;
+    /// The live instance that holds a pool with the highest token, and its load. Leaving holders come last.
+    const workers::pool_load* holder(time_point now, const pool_id& pool, endpoint& address) const;
+    /// Calls back for the best holder of each pool of a service.
+    void each_pool(time_point now, const service_id& service,
+                   const std::function<void(const workers::instance_status&, const workers::pool_load&)>& call) const;
+    /// This instance's own status stands in the table like a peer's.
+    const endpoint& self() const { return m_self; }
+    const data_centre_id& data_centre() const { return m_data_centre; }
+    const std::map<endpoint, peer>& all() const { return m_peers; }
+
+private:
+    endpoint m_self;
+    data_centre_id m_data_centre;
+    std::map<endpoint, peer> m_peers;
+};
+
+}  // namespace poplarshed::routing
--- /dev/null
+++ b/source/routing/router.cpp
@@ -0,0 +1,312 @@
+#include "routing/router.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace poplarshed::routing {
+
+namespace {
+
+// A pool elsewhere must end a job sooner by this much: the way there and back, and the age of its figures.
+constexpr milliseconds remote_cost{8};
+// Hint to callers while no pool has a holder; a takeover takes about this long.
+constexpr milliseconds takeover_retry_after{500};
+constexpr std::uint32_t last_return = 2;
+
+constexpr std::array<std::string_view, routing_decision_count> decision_names{
+    "offered", "offered_again", "offered_elsewhere", "waits_for_lapse", "answered", "caller_left"};
+
+milliseconds since(time_point now, time_point then)
+{
+    return std::chrono::duration_cast<milliseconds>(now - then);
+}
+
+workers::job_demand demand_of(const std::vector<workers::job_step>& steps)
+{
+    workers::job_demand need;
+    for (const workers::job_step& step : steps) {
+        need.cpu += step.need.cpu_milli * step.tasks;
+        need.cpu_ms += step.need.cpu_milli * step.tasks * step.estimate.count();
+    }
+    need.chain = workers::longest_chain(steps);
+    return need;
+}
+
+}  // namespace
+
+std::string_view to_string(routing_decision value)
+{
+    return decision_names.at(static_cast<std::size_t>(value));
+}
+
+router::router(router_options options, const peer_table& peers) : m_options(options), m_peers(peers) {}
+
+std::optional<caller_id> router::on_job(time_point now, caller_id caller, const route& target, caller_job sent)
+{
+    const job_id id = sent.job;
+    const auto known = m_jobs.find(id);
+    if (known != m_jobs.end()) {
+        // The caller has opened another connection for the same job; the former one gets no answer.
+        const caller_id former = std::exchange(known->second.caller, caller);
+        m_callers.erase(former);
+        m_callers.emplace(caller, id);
+        return former;
+    }
+    job item;
+    item.caller = caller;
+    item.arrived = now;
+    item.deadline_at = now + sent.time_limit;
+    item.offer.job = id;
+    item.offer.owner = m_peers.self();
+    item.offer.service = target.service;
+    item.offer.payload = std::move(sent.payload);
+    item.offer.steps = std::move(sent.steps);
+    item.offer.priority = target.priority;
+    item.offer.max_attempts = target.max_attempts;
+    item.offer.deadline = sent.time_limit;
+    const auto chain = static_cast<double>(workers::longest_chain(item.offer.steps).count());
+    item.offer.objective = milliseconds(static_cast<std::int64_t>(chain * target.stretch)) + target.allowance;
+    m_callers.emplace(caller, id);
+    job& kept = m_jobs.emplace(id, std::move(item)).first->second;
+    if (!offer(now, kept, routing_decision::offered)) {
+        answer(now, id, answer_kind::refused, refusal_reason::no_runners, takeover_retry_after);
+    }
+    return std::nullopt;
+}
+
+std::optional<router::choice> router::choose(time_point now, const job& item) const
+{
+    const workers::job_demand need = demand_of(item.offer.steps);
+    std::optional<choice> best;
+    milliseconds best_cost{};
+    m_peers.each_pool(now, item.offer.service, [&](const workers::instance_status& status,
+                                                   const workers::pool_load& load) {
+        const auto& returned = item.returned_by;
+        if (status.leaving || std::find(returned.begin(), returned.end(), load.pool) != returned.end()) {
+            return;
+        }
+        workers::backlog queue{load.capacity_cpu, load.free_cpu, load.waiting_cpu_ms};
+        const auto sent = m_sent.find(status.address);
+        if (sent != m_sent.end() && sent->second.contains(load.pool)) {
+            const sent_work& extra = sent->second.at(load.pool);
+            const std::int64_t placed = std::min(queue.free_cpu, extra.cpu);
+            queue.free_cpu -= placed;
+            queue.ahead_cpu_ms += extra.cpu > 0 ? extra.cpu_ms * (extra.cpu - placed) / extra.cpu : 0;
+        }
+        const auto predicted = workers::expected_finish(queue, need);
+        if (!predicted) {
+            return;
+        }
+        const bool near = status.data_centre == m_peers.data_centre();
+        const milliseconds cost = *predicted + (near ? milliseconds(0) : remote_cost);
+        if (!best || cost < best_cost) {
+            best = choice{load.pool, status.address, *predicted,
+                          m_peers.silence(now, status.address).value_or(milliseconds(0))};
+            best_cost = cost;
+        }
+    });
+    return best;
+}
+
+bool router::offer(time_point now, job& item, routing_decision what)
+{
+    auto chosen = choose(now, item);
+    if (!chosen && !item.returned_by.empty()) {
+        item.returned_by.clear();
+        item.offer.returns = last_return;
+        chosen = choose(now, item);
+    }
+    if (!chosen) {
+        return false;
+    }
+    send_offer(now, item, *chosen, what);
+    return true;
+}
+
+void router::send_offer(time_point now, job& item, const choice& chosen, routing_decision what)
+{
+    item.holder = chosen.holder;
+    item.offer.pool = chosen.pool;
+    item.offer.age = since(now, item.arrived);
+    item.offered_at = now;
+    item.lost = false;
+    const workers::job_demand need = demand_of(item.offer.steps);
+    sent_work& sent = m_sent[chosen.holder][chosen.pool];
+    sent.cpu += need.cpu;
+    sent.cpu_ms += need.cpu_ms;
+    m_actions.emplace_back(to_holder{chosen.holder, item.offer});
+    m_actions.emplace_back(routing_record{what, item.offer.job, chosen.holder, chosen.pool.value(),
+                                          chosen.predicted, chosen.information});
+}
+
+void router::on_status(const endpoint& holder)
+{
+    m_sent.erase(holder);
+}
+
+bool router::on_cancelled(time_point now, const job_id& id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return false;
+    }
+    give_up(now, id, refusal_reason::cancelled);
+    return true;
+}
+
+std::optional<bool> router::is_running(const job_id& id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? std::nullopt : std::optional(!found->second.offer.done_tasks.empty());
+}
+
+void router::on_caller_left(time_point now, caller_id caller)
+{
+    const auto found = m_callers.find(caller);
+    if (found == m_callers.end()) {
+        return;
+    }
+    const job_id id = found->second;
+    const job& item = m_jobs.at(id);
+    m_actions.emplace_back(routing_record{routing_decision::caller_left, id, item.holder, {},
+                                          since(now, item.arrived), {}});
+    if (!item.holder.empty()) {
+        m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
+    }
+    m_jobs.erase(id);
+    m_callers.erase(found);
+}
+
+void router::on_progress(const workers::job_progress& progress)
+{
+    const auto found = m_jobs.find(progress.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto& done = found->second.offer.done_tasks;
+    done.insert(done.end(), progress.done_tasks.begin(), progress.done_tasks.end());
+}
+
+void router::on_result(time_point now, const endpoint& from, const workers::job_result& result)
+{
+    const auto found = m_jobs.find(result.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    job& item = found->second;
+    if (result.end == workers::job_end::completed) {
+        if (item.holder != from && !item.holder.empty()) {
+            m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{result.job, m_peers.self()}});
+        }
+        answer(now, result.job, answer_kind::completed, result.reason, {});
+        return;
+    }
+    if (item.holder != from) {
+        return;
+    }
+    switch (result.end) {
+        case workers::job_end::failed:
+            answer(now, result.job, answer_kind::failed, result.reason, {});
+            break;
+        case workers::job_end::refused:
+            if (item.offer.may_have_run) {
+                give_up(now, result.job, result.reason);
+            } else {
+                answer(now, result.job, answer_kind::refused, result.reason, result.retry_after);
+            }
+            break;
+        case workers::job_end::returned:
+            ++item.offer.returns;
+            item.returned_by.push_back(item.offer.pool);
+            if (!offer(now, item, routing_decision::offered_elsewhere)) {
+                give_up(now, result.job, refusal_reason::no_runners);
+            }
+            break;
+        case workers::job_end::not_held:
+            item.lost = true;
+            item.lost_at = now;
+            follow_holder(now, result.job);
+            break;
+        case workers::job_end::gave_up:
+        case workers::job_end::completed:
+            give_up(now, result.job, result.reason);
+            break;
+    }
+}
+
+void router::give_up(time_point now, const job_id& id, refusal_reason reason)
+{
+    const job& item = m_jobs.at(id);
+    if (!item.holder.empty()) {
+        m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
+    }
+    answer(now, id, answer_kind::unknown_end, reason, {});
+}
+
+void router::answer(time_point now, const job_id& id, answer_kind kind, refusal_reason reason,
+                    milliseconds retry_after)
+{
+    const auto found = m_jobs.find(id);
+    m_actions.emplace_back(answer_caller{found->second.caller, id, kind, reason, retry_after});
+    m_actions.emplace_back(routing_record{routing_decision::answered, id, found->second.holder,
+                                          std::string(to_string(reason)), since(now, found->second.arrived), {}});
+    m_callers.erase(found->second.caller);
+    m_jobs.erase(found);
+}
+
+// The new holder of a pool learns what runs from the workers themselves, so the job can go on there at once.
+// In any other pool it may start only when nothing of it can run in the former one.
+void router::follow_holder(time_point now, const job_id& id)
+{
+    job& item = m_jobs.at(id);
+    endpoint holder;
+    const workers::pool_load* load = m_peers.holder(now, item.offer.pool, holder);
+    if (load != nullptr && holder != item.holder) {
+        item.offer.may_have_run = true;
+        send_offer(now, item, {item.offer.pool, holder, {}, m_peers.silence(now, holder).value_or(milliseconds(0))},
+                   routing_decision::offered_again);
+        return;
+    }
+    const bool gone = load == nullptr;
+    if (!item.lost && !gone) {
+        return;
+    }
+    if (!item.lost) {
+        const auto silence = m_peers.silence(now, item.holder);
+        item.lost = true;
+        item.lost_at = now - silence.value_or(milliseconds(0));
+        m_actions.emplace_back(routing_record{routing_decision::waits_for_lapse, id, item.holder, {},
+                                              since(now, item.arrived), silence.value_or(milliseconds(0))});
+    }
+    if (now < item.lost_at + m_options.lost_holder_time) {
+        return;
+    }
+    item.offer.may_have_run = true;
+    if (!offer(now, item, routing_decision::offered_elsewhere)) {
+        give_up(now, id, refusal_reason::owner_lost);
+    }
+}
+
+void router::on_tick(time_point now)
+{
+    std::vector<job_id> ids;
+    ids.reserve(m_jobs.size());
+    for (const auto& [id, item] : m_jobs) {
+        ids.push_back(id);
+    }
+    for (const job_id& id : ids) {
+        if (now >= m_jobs.at(id).deadline_at) {
+            give_up(now, id, refusal_reason::timed_out);
+            continue;
+        }
+        follow_holder(now, id);
+    }
+}
+
+std::vector<routing_action> router::take_actions()
+{
+    return std::exchange(m_actions, {});
+}
+
+}  // namespace poplarshed::routing
--- /dev/null
+++ b/source/routing/router.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <unordered_map>
+#include <variant>
+
+#include "routing/peers.h"
+
+namespace poplarshed::routing {
+
+/// A job as a caller sent it.
+struct caller_job {
+    job_id job;
+    std::string payload;
+    std::vector<workers::job_step> steps;
+    milliseconds time_limit{};  ///< after which the caller stops waiting
+};
+
+/// Message to the holder of a pool.
+struct to_holder {
+    endpoint holder;
+    std::variant<workers::job_offer, workers::job_cancel> message;
+};
+
+enum class answer_kind {
+    completed,
+    failed,
+    refused,      ///< nothing has run and nothing will
+    unknown_end,  ///< tasks may have run and the job is not complete; the caller may send it again
+};
+
+struct answer_caller {
+    caller_id caller;
+    job_id job;
+    answer_kind kind = answer_kind::refused;
+    refusal_reason reason = refusal_reason::internal_error;
+    milliseconds retry_after{};
+};
+
+enum class routing_decision {
+    offered,
+    offered_again,   ///< to the new holder of the pool
+    offered_elsewhere,
+    waits_for_lapse, ///< the holder is lost; its runs must have ended before the job can start elsewhere
+    answered,
+    caller_left,
+};
+inline constexpr std::size_t routing_decision_count = 6;
+
+/// Name of a decision in logs and metrics.
+std::string_view to_string(routing_decision value);
+
+struct routing_record {
+    routing_decision what = routing_decision::offered;
+    job_id job;
+    endpoint holder;
+    std::string detail;
+    milliseconds predicted{};    ///< expected finish
+    milliseconds information{};  ///< age of the holder's status
+};
+
+using routing_action = std::variant<to_holder, answer_caller, routing_record>;
+
+struct router_options {
+    /// A holder that hears nothing of this instance stops its jobs after silence_limit; what runs on workers that
+    /// it cannot reach ends with the lease. After both, nothing of a job runs in the pool.
+    milliseconds lost_holder_time{600 + 1000 + 120 + 180};
+    /// A job whose pool has no holder waits this long for one.
+    milliseconds handover_time{1500};
+};
+
+/// Owns the jobs of this instance's callers: chooses a pool for each, follows holders, and answers once.
+/// Not thread-safe; no I/O.
+class router {
+public:
+    router(router_options options, const peer_table& peers);
+
+    /// @returns the former caller of a job that was sent again; it gets no answer
+    std::optional<caller_id> on_job(time_point now, caller_id caller, const route& target, caller_job job);
+    /// @returns false if the job is not known here
+    bool on_cancelled(time_point now, const job_id& id);
+    /// True once a task is done; nothing if the job is not known here.
+    std::optional<bool> is_running(const job_id& id) const;
+    void on_caller_left(time_point now, caller_id caller);
+    void on_progress(const workers::job_progress& progress);
+    void on_result(time_point now, const endpoint& from, const workers::job_result& result);
+    void on_tick(time_point now);
+    /// A status has arrived; offers sent before it are part of its figures.
+    void on_status(const endpoint& holder);
+    std::size_t job_count() const { return m_jobs.size(); }
+    std::vector<routing_action> take_actions();
+
+private:
+    struct job {
+        caller_id caller;
+        workers::job_offer offer;
+        time_point arrived;
+        time_point deadline_at;
+        endpoint holder;          ///< empty while no pool has the job
+        time_point offered_at;
+        time_point lost_at;       ///< when the holder was last heard, while it is lost
+        bool lost = false;
+        std::vector<pool_id> returned_by;
+    };
+
+    struct choice {
+        pool_id pool;
+        endpoint holder;
+        milliseconds predicted{};
+        milliseconds information{};
+    };
+
+    std::optional<choice> choose(time_point now, const job& item) const;
+    bool offer(time_point now, job& item, routing_decision what);
+    void send_offer(time_point now, job& item, const choice& chosen, routing_decision what);
+    void answer(time_point now, const job_id& id, answer_kind kind, refusal_reason reason, milliseconds retry_after);
+    void give_up(time_point now, const job_id& id, refusal_reason reason);
+    void follow_holder(time_point now, const job_id& id);
+
+    router_options m_options;
+    const peer_table& m_peers;
+    std::unordered_map<job_id, job> m_jobs;
+    std::unordered_map<caller_id, job_id> m_callers;
+    struct sent_work {
+        std::int64_t cpu = 0;
+        std::int64_t cpu_ms = 0;
+    };
+    std::map<endpoint, std::map<pool_id, sent_work>> m_sent;  ///< since the holder's last status
+    std::vector<routing_action> m_actions;
+};
+
+}  // namespace poplarshed::routing
--- /dev/null
+++ b/source/routing/routing.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Public header of the routing library: which instance holds which pool, and which pool gets a job. No I/O.
+
+#include "routing/ownership.h"
+#include "routing/peers.h"
+#include "routing/router.h"
+#include "routing/types.h"
--- a/source/telemetry/log.cpp
+++ b/source/telemetry/log.cpp
@@ -89,7 +89,7 @@
     el::Loggers::unregisterLogger(m_sink);
 }
 
-void logger::write(severity level, category part, std::string_view message, log_fields fields,
+void logger::write(severity level, category part, std::string_view message, std::span<const log_field> fields,
                    const submission_id& id)
 {
     if (!enabled(level)) {
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -56,6 +56,11 @@
 inline constexpr counter_definition platform_failures{
     "poplarshed_platform_failures_total", "call", "Calls to the platform's service without a usable answer."};
 
+inline constexpr counter_definition pool_decisions{"poplarshed_pool_decisions_total", "decision",
+                                                   "Decisions about jobs, runs and workers of held pools."};
+inline constexpr counter_definition routing_decisions{"poplarshed_routing_decisions_total", "decision",
+                                                      "Decisions about callers' jobs."};
+
 inline constexpr gauge_definition jobs_in_flight{"poplarshed_jobs_in_flight", "", "Jobs not yet answered."};
 inline constexpr gauge_definition attempts_in_flight{"poplarshed_attempts_in_flight", "",
                                                      "Requests at runners, not yet answered."};
@@ -159,7 +164,7 @@
 
 struct log_options {
     severity level = severity::info;
-    std::string file;         ///< empty means standard error
+    std::string file;         ///< empty means standard output
     std::string instance;     ///< address of the instance; stands in each line
     std::string data_centre;  ///< stands in each line
 };
@@ -179,22 +184,22 @@
 
     void debug(category part, std::string_view message, log_fields fields = {}, const submission_id& id = {})
     {
-        write(severity::debug, part, message, fields, id);
+        write(severity::debug, part, message, {fields.begin(), fields.size()}, id);
     }
     void info(category part, std::string_view message, log_fields fields = {}, const submission_id& id = {})
     {
-        write(severity::info, part, message, fields, id);
+        write(severity::info, part, message, {fields.begin(), fields.size()}, id);
     }
     void warning(category part, std::string_view message, log_fields fields = {},
                  const submission_id& id = {})
     {
-        write(severity::warning, part, message, fields, id);
+        write(severity::warning, part, message, {fields.begin(), fields.size()}, id);
     }
     void error(category part, std::string_view message, log_fields fields = {}, const submission_id& id = {})
     {
-        write(severity::error, part, message, fields, id);
+        write(severity::error, part, message, {fields.begin(), fields.size()}, id);
     }
-    void write(severity level, category part, std::string_view message, log_fields fields,
+    void write(severity level, category part, std::string_view message, std::span<const log_field> fields,
                const submission_id& id);
 
 private:
--- a/source/wire/codec.cpp
+++ b/source/wire/codec.cpp
@@ -67,6 +67,20 @@
             return convert<fb::slot_demand>(envelope);
         case fb::content::slot_grant:
             return convert<fb::slot_grant>(envelope);
+        case fb::content::pool_offer:
+            return convert<fb::pool_offer>(envelope);
+        case fb::content::pool_progress:
+            return convert<fb::pool_progress>(envelope);
+        case fb::content::pool_result:
+            return convert<fb::pool_result>(envelope);
+        case fb::content::pool_cancel:
+            return convert<fb::pool_cancel>(envelope);
+        case fb::content::instance_status:
+            return convert<fb::instance_status>(envelope);
+        case fb::content::directory_pull:
+            return convert<fb::directory_pull>(envelope);
+        case fb::content::directory_push:
+            return convert<fb::directory_push>(envelope);
         case fb::content::NONE:
             break;
     }
@@ -85,6 +99,10 @@
         }
     } else if (const auto* push = std::get_if<bundle_push>(&value)) {
         total = push->text.size();
+    } else if (const auto* items = std::get_if<workers::directory_push>(&value)) {
+        for (const workers::directory_item& item : items->items) {
+            total += item.value.size();
+        }
     }
     return total;
 }
--- a/source/wire/conversion.h
+++ b/source/wire/conversion.h
@@ -112,4 +112,25 @@
 flatbuffers::Offset<fb::slot_grant> pack(builder& out, const dispatch::slot_grant& value);
 std::optional<dispatch::slot_grant> unpack(const fb::slot_grant& table);
 
+flatbuffers::Offset<fb::pool_offer> pack(builder& out, const workers::job_offer& value);
+std::optional<workers::job_offer> unpack(const fb::pool_offer& table);
+
+flatbuffers::Offset<fb::pool_progress> pack(builder& out, const workers::job_progress& value);
+std::optional<workers::job_progress> unpack(const fb::pool_progress& table);
+
+flatbuffers::Offset<fb::pool_result> pack(builder& out, const workers::job_result& value);
+std::optional<workers::job_result> unpack(const fb::pool_result& table);
+
+flatbuffers::Offset<fb::pool_cancel> pack(builder& out, const workers::job_cancel& value);
+std::optional<workers::job_cancel> unpack(const fb::pool_cancel& table);
+
+flatbuffers::Offset<fb::instance_status> pack(builder& out, const workers::instance_status& value);
+std::optional<workers::instance_status> unpack(const fb::instance_status& table);
+
+flatbuffers::Offset<fb::directory_pull> pack(builder& out, const workers::directory_pull& value);
+std::optional<workers::directory_pull> unpack(const fb::directory_pull& table);
+
+flatbuffers::Offset<fb::directory_push> pack(builder& out, const workers::directory_push& value);
+std::optional<workers::directory_push> unpack(const fb::directory_push& table);
+
 }  // namespace poplarshed::wire
--- /dev/null
+++ b/source/wire/convert_workers.cpp
@@ -0,0 +1,201 @@
+#include "wire/conversion.h"
+
+namespace poplarshed::wire {
+
+namespace {
+
+constexpr std::int64_t max_duration_ms = 86'400'000;
+// A job has at most this many tasks; see the limits of the caller interface.
+constexpr std::uint32_t max_tasks = 100'000;
+
+std::vector<std::uint32_t> numbers(const flatbuffers::Vector<std::uint32_t>* values)
+{
+    return values == nullptr ? std::vector<std::uint32_t>()
+                             : std::vector<std::uint32_t>(values->begin(), values->end());
+}
+
+flatbuffers::Offset<fb::task_step> pack(builder& out, const workers::job_step& value)
+{
+    const auto after = out.CreateVector(value.after);
+    const auto preferred = out.CreateString(value.preferred_label);
+    const auto required = out.CreateString(value.required_label);
+    return fb::Createtask_step(out, value.tasks, value.need.cpu_milli, value.need.memory_mb,
+                               value.need.accelerators, value.estimate.count(), after, preferred, required,
+                               value.max_per_worker);
+}
+
+workers::job_step unpack(const fb::task_step& table)
+{
+    return {table.tasks(),
+            {table.cpu_milli(), table.memory_mb(), table.accelerators()},
+            milliseconds(table.estimate_ms()),
+            numbers(table.after()),
+            text(table.preferred_label()),
+            text(table.required_label()),
+            table.max_per_worker()};
+}
+
+// Steps may only wait for earlier ones.
+bool valid(const std::vector<workers::job_step>& steps)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const workers::job_step& step = steps[i];
+        tasks += step.tasks;
+        if (step.tasks == 0 || tasks > max_tasks || step.estimate.count() < 0 ||
+            step.estimate.count() > max_duration_ms || step.need.cpu_milli < 0 || step.need.memory_mb < 0 ||
+            step.need.accelerators < 0) {
+            return false;
+        }
+        for (const std::uint32_t earlier : step.after) {
+            if (earlier >= i) {
+                return false;
+            }
+        }
+    }
+    return !steps.empty();
+}
+
+flatbuffers::Offset<fb::pool_figures> pack(builder& out, const workers::pool_load& value)
+{
+    const auto pool = wire::pack(out, value.pool);
+    const auto service = wire::pack(out, value.service);
+    return fb::Createpool_figures(out, pool, service, value.token.value(), value.capacity_cpu, value.free_cpu,
+                                  value.running_cpu_ms, value.waiting_cpu_ms, value.overdue_cpu_ms);
+}
+
+workers::pool_load unpack(const fb::pool_figures& table)
+{
+    return {workers::pool_id(table.pool()->str()),
+            service_id(table.service()->str()),
+            workers::fencing_token(table.token()),
+            table.capacity_cpu(),
+            table.free_cpu(),
+            table.running_cpu_ms(),
+            table.waiting_cpu_ms(),
+            table.overdue_cpu_ms()};
+}
+
+}  // namespace
+
+flatbuffers::Offset<fb::pool_offer> pack(builder& out, const workers::job_offer& value)
+{
+    const auto job = pack(out, value.job);
+    const auto pool = pack(out, value.pool);
+    const auto service = pack(out, value.service);
+    const auto payload = out.CreateString(value.payload);
+    const auto steps = pack_each(out, value.steps, [&out](const auto& item) { return pack(out, item); });
+    const auto done = out.CreateVector(value.done_tasks);
+    const auto owner = pack(out, value.owner);
+    return fb::Createpool_offer(out, job, pool, service, payload, steps, value.priority, value.max_attempts,
+                                value.age.count(), value.objective.count(), value.deadline.count(),
+                                value.returns, value.may_have_run, done, owner);
+}
+
+std::optional<workers::job_offer> unpack(const fb::pool_offer& table)
+{
+    workers::job_offer value;
+    value.job = workers::job_id(table.job()->str());
+    value.owner = endpoint(table.owner()->str());
+    value.pool = workers::pool_id(table.pool()->str());
+    value.service = service_id(table.service()->str());
+    value.payload = table.payload()->str();
+    value.steps = unpack_each(*table.steps(), [](const auto& item) { return unpack(item); });
+    value.priority = table.priority();
+    value.max_attempts = table.max_attempts();
+    value.age = milliseconds(table.age_ms());
+    value.objective = milliseconds(table.objective_ms());
+    value.deadline = milliseconds(table.deadline_ms());
+    value.returns = table.returns();
+    value.may_have_run = table.may_have_run();
+    value.done_tasks = numbers(table.done_tasks());
+    return valid(value.steps) ? std::optional(std::move(value)) : std::nullopt;
+}
+
+flatbuffers::Offset<fb::pool_progress> pack(builder& out, const workers::job_progress& value)
+{
+    const auto job = pack(out, value.job);
+    return fb::Createpool_progress(out, job, out.CreateVector(value.done_tasks));
+}
+
+std::optional<workers::job_progress> unpack(const fb::pool_progress& table)
+{
+    return workers::job_progress{workers::job_id(table.job()->str()), numbers(table.done_tasks())};
+}
+
+flatbuffers::Offset<fb::pool_result> pack(builder& out, const workers::job_result& value)
+{
+    const auto job = pack(out, value.job);
+    return fb::Createpool_result(out, job, static_cast<std::uint8_t>(value.end),
+                                 static_cast<std::uint8_t>(value.reason), value.retry_after.count(),
+                                 pack(out, value.holder));
+}
+
+std::optional<workers::job_result> unpack(const fb::pool_result& table)
+{
+    if (table.end() >= workers::job_end_count || table.reason() >= all_refusal_reasons().size()) {
+        return std::nullopt;
+    }
+    return workers::job_result{workers::job_id(table.job()->str()), endpoint(table.holder()->str()), static_cast<workers::job_end>(table.end()),
+                               all_refusal_reasons()[table.reason()], milliseconds(table.retry_after_ms())};
+}
+
+flatbuffers::Offset<fb::pool_cancel> pack(builder& out, const workers::job_cancel& value)
+{
+    const auto job = pack(out, value.job);
+    return fb::Createpool_cancel(out, job, pack(out, value.owner));
+}
+
+std::optional<workers::job_cancel> unpack(const fb::pool_cancel& table)
+{
+    return workers::job_cancel{workers::job_id(table.job()->str()), endpoint(table.owner()->str())};
+}
+
+flatbuffers::Offset<fb::instance_status> pack(builder& out, const workers::instance_status& value)
+{
+    const auto address = pack(out, value.address);
+    const auto data_centre = pack(out, value.data_centre);
+    const auto pools = pack_each(out, value.pools, [&out](const auto& item) { return pack(out, item); });
+    return fb::Createinstance_status(out, address, data_centre, value.leaving, value.directory_current,
+                                     value.configuration_version, value.store_revision, pools);
+}
+
+std::optional<workers::instance_status> unpack(const fb::instance_status& table)
+{
+    return workers::instance_status{endpoint(table.address()->str()),
+                                    data_centre_id(table.data_centre()->str()),
+                                    table.leaving(),
+                                    table.directory_current(),
+                                    table.configuration_version(),
+                                    table.store_revision(),
+                                    unpack_each(*table.pools(), [](const auto& item) { return unpack(item); })};
+}
+
+flatbuffers::Offset<fb::directory_pull> pack(builder& out, const workers::directory_pull& value)
+{
+    return fb::Createdirectory_pull(out, value.since, pack(out, value.from));
+}
+
+std::optional<workers::directory_pull> unpack(const fb::directory_pull& table)
+{
+    return workers::directory_pull{endpoint(table.from()->str()), table.since()};
+}
+
+flatbuffers::Offset<fb::directory_push> pack(builder& out, const workers::directory_push& value)
+{
+    const auto items = pack_each(out, value.items, [&out](const workers::directory_item& item) {
+        const auto key = out.CreateString(item.key);
+        return fb::Createdirectory_entry(out, key, item.revision, out.CreateString(item.value));
+    });
+    return fb::Createdirectory_push(out, value.revision, items);
+}
+
+std::optional<workers::directory_push> unpack(const fb::directory_push& table)
+{
+    auto items = unpack_each(*table.items(), [](const fb::directory_entry& item) {
+        return workers::directory_item{item.key()->str(), item.revision(), item.value()->str()};
+    });
+    return workers::directory_push{table.revision(), std::move(items)};
+}
+
+}  // namespace poplarshed::wire
--- a/source/wire/messages.h
+++ b/source/wire/messages.h
@@ -12,6 +12,7 @@
 #include "dispatch/types.h"
 #include "membership/messages.h"
 #include "registry/messages.h"
+#include "workers/types.h"
 
 namespace poplarshed::wire {
 
@@ -76,7 +77,9 @@
     std::variant<hello, hello_proof, job_follow, job_answer, bundle_pull, bundle_push, membership::heartbeat,
                  membership::view_offer, registry::claim, registry::claim_forward, registry::claim_grant,
                  registry::claim_known, registry::claim_refuse, registry::records_sync, registry::sync_ack,
-                 registry::claim_release, dispatch::slot_demand, dispatch::slot_grant>;
+                 registry::claim_release, dispatch::slot_demand, dispatch::slot_grant, workers::job_offer,
+                 workers::job_progress, workers::job_result, workers::job_cancel, workers::instance_status,
+                 workers::directory_pull, workers::directory_push>;
 
 /// Wraps a message of a core's own variant.
 template <class... Group>
--- /dev/null
+++ b/source/workers/pool_jobs.cpp
@@ -0,0 +1,334 @@
+#include <algorithm>
+
+#include "workers/pool.h"
+
+namespace poplarshed::workers {
+
+namespace {
+
+// A job moves between pools at most this often; further moves cost more than they gain.
+constexpr std::uint32_t max_returns = 2;
+// Another pool must end a job sooner by this much to be worth the way there.
+constexpr milliseconds worthwhile_gain{25};
+// Least and greatest time after which a refused caller may try again.
+constexpr milliseconds least_retry_after{100};
+constexpr milliseconds greatest_retry_after{2000};
+// A forecast beyond the useful time by this factor is certain enough to refuse a job that was admitted.
+constexpr double hopeless_factor = 1.25;
+
+milliseconds since(time_point now, time_point then)
+{
+    return std::chrono::duration_cast<milliseconds>(now - then);
+}
+
+}  // namespace
+
+pool::pool(pool_options options, time_point now)
+    : m_options(std::move(options)), m_created(now), m_last_run(m_options.first_run)
+{}
+
+pool::~pool() = default;
+
+pool::job* pool::find_job(const job_id& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+std::uint32_t pool::number_of(const job& item, const task_ref& ref) const
+{
+    return item.first_task.at(ref.step) + ref.index;
+}
+
+const job_step& pool::step_of(const job& item, std::uint32_t number) const
+{
+    return item.offer.steps.at(ref_of(item, number).step);
+}
+
+task_ref pool::ref_of(const job& item, std::uint32_t number) const
+{
+    const auto next = std::upper_bound(item.first_task.begin(), item.first_task.end(), number);
+    const auto step = static_cast<std::uint32_t>(std::distance(item.first_task.begin(), next) - 1);
+    return {item.offer.job, step, number - item.first_task.at(step)};
+}
+
+void pool::on_offer(time_point now, const endpoint& owner, job_offer offer)
+{
+    if (job* known = find_job(offer.job)) {
+        // The caller has sent the job again through another instance; the runs go on for the new owner.
+        known->owner = owner;
+        return;
+    }
+    auto created = std::make_unique<job>();
+    job& item = *created;
+    item.owner = owner;
+    item.arrived = now - offer.age;
+    item.objective_at = item.arrived + offer.objective;
+    item.deadline_at = item.arrived + offer.deadline;
+    item.useful_until = std::min(item.arrived + offer.objective * late_multiple, item.deadline_at);
+    for (const job_step& step : offer.steps) {
+        item.first_task.push_back(static_cast<std::uint32_t>(item.tasks.size()));
+        item.step_left.push_back(step.tasks);
+        item.tasks.resize(item.tasks.size() + step.tasks);
+    }
+    item.waiting = static_cast<std::uint32_t>(item.tasks.size());
+    item.offer = std::move(offer);
+    adopt(now, item);
+    if (!item.started && !admit(now, item)) {
+        return;
+    }
+    const job_id id = item.offer.job;
+    m_jobs.emplace(id, std::move(created));
+    if (item.done == item.tasks.size()) {
+        finish_job(now, id, {id, m_options.self, job_end::completed, {}, {}});
+        return;
+    }
+    schedule(now);
+}
+
+void pool::adopt(time_point now, job& item)
+{
+    item.started = item.offer.may_have_run;
+    const auto mark_done = [&item, this](std::uint32_t number) {
+        if (number >= item.tasks.size() || item.tasks[number].state != task_state::waiting) {
+            return;
+        }
+        item.tasks[number].state = task_state::done;
+        --item.waiting;
+        ++item.done;
+        --item.step_left.at(ref_of(item, number).step);
+    };
+    for (const std::uint32_t number : item.offer.done_tasks) {
+        mark_done(number);
+    }
+    for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
+        if (m_orphan_ends.erase(ref_of(item, number)) > 0) {
+            mark_done(number);
+        }
+    }
+    for (auto& [id, on] : m_workers) {
+        for (auto& [ref, running] : on.runs) {
+            if (ref.job != item.offer.job || ref.step >= item.first_task.size()) {
+                continue;
+            }
+            const std::uint32_t number = number_of(item, ref);
+            if (number >= item.tasks.size() || item.tasks[number].state != task_state::waiting) {
+                continue;
+            }
+            running.orphan = false;
+            running.estimate = step_of(item, number).estimate;
+            running.expected = expected_on(now, on, step_of(item, number));
+            item.tasks[number].state = running.stopping ? task_state::stopping : task_state::running;
+            item.tasks[number].run = running.number;
+            item.tasks[number].worker = id;
+            item.started = true;
+            --item.waiting;
+        }
+    }
+}
+
+bool pool::admit(time_point now, job& item)
+{
+    const double ratio = mean_ratio(now);
+    const queue_rank own = rank(now, item, ratio);
+    backlog queue = current_backlog(now);
+    for (const auto& [id, other] : m_jobs) {
+        if (other->waiting > 0 && !(own < rank(now, *other, ratio))) {
+            queue.ahead_cpu_ms += demand(*other, ratio).cpu_ms;
+        }
+    }
+    const job_demand need = demand(item, ratio);
+    const auto predicted = expected_finish(queue, need);
+    const milliseconds left = since(item.useful_until, now);
+    if (!predicted) {
+        refuse(now, item, refusal_reason::no_runners, least_retry_after, {});
+        return false;
+    }
+    if (*predicted > since(item.objective_at, now) && item.offer.returns < max_returns) {
+        for (const pool_load& other : m_others) {
+            const auto there = expected_finish({other.capacity_cpu, other.free_cpu, other.waiting_cpu_ms}, need);
+            if (there && *there + worthwhile_gain < *predicted) {
+                record(decision::returned_to_owner, item.offer.job, {}, other.pool.value(), *predicted, *there);
+                tell(item.owner, job_result{item.offer.job, m_options.self, job_end::returned, {}, {}});
+                return false;
+            }
+        }
+    }
+    if (*predicted > left) {
+        refuse(now, item, refusal_reason::deadline_unreachable,
+               std::clamp(*predicted - left, least_retry_after, greatest_retry_after), *predicted);
+        return false;
+    }
+    record(decision::admitted, item.offer.job, {}, {}, *predicted, left);
+    return true;
+}
+
+void pool::refuse(time_point now, const job& item, refusal_reason reason, milliseconds retry_after,
+                  milliseconds predicted)
+{
+    const bool no_worker = reason == refusal_reason::no_runners;
+    record(no_worker ? decision::refused_no_worker : decision::refused_too_late, item.offer.job, {},
+           std::string(to_string(reason)), predicted, since(item.useful_until, now));
+    tell(item.owner, job_result{item.offer.job, m_options.self, job_end::refused, reason, retry_after});
+}
+
+// Load pattern: a burst of urgent jobs after others were admitted. Those that cannot be in time any more and
+// have not started are refused now, not when their time is over.
+void pool::refuse_hopeless(time_point now)
+{
+    const double ratio = mean_ratio(now);
+    backlog queue = current_backlog(now);
+    std::vector<job_id> hopeless;
+    for (const job* item : waiting_in_order(now)) {
+        const job_demand need = demand(*item, ratio);
+        const auto predicted = expected_finish(queue, need);
+        const milliseconds left = since(item->started ? item->deadline_at : item->useful_until, now);
+        const bool late = predicted && static_cast<double>(predicted->count()) >
+                                           static_cast<double>(left.count()) * hopeless_factor;
+        if (left < need.chain / 2 || (late && !item->started)) {
+            hopeless.push_back(item->offer.job);
+            continue;
+        }
+        queue.ahead_cpu_ms += need.cpu_ms;
+    }
+    for (const job_id& id : hopeless) {
+        const job& item = *find_job(id);
+        if (item.started) {
+            finish_job(now, id, {id, m_options.self, job_end::gave_up, refusal_reason::timed_out, {}});
+            continue;
+        }
+        refuse(now, item, refusal_reason::deadline_unreachable, least_retry_after, {});
+        m_jobs.erase(id);
+    }
+}
+
+// Load pattern: callers are spread unevenly over data centres, so that one pool queues while another has room.
+void pool::return_surplus(time_point now)
+{
+    std::int64_t room = 0;
+    for (const pool_load& other : m_others) {
+        room += other.waiting_cpu_ms == 0 ? other.free_cpu : 0;
+    }
+    if (room <= 0) {
+        return;
+    }
+    const double ratio = mean_ratio(now);
+    std::vector<job_id> moved;
+    for (const job* item : waiting_in_order(now)) {
+        if (item->started || item->offer.returns >= max_returns) {
+            continue;
+        }
+        const job_demand need = demand(*item, ratio);
+        if (need.cpu > room) {
+            continue;
+        }
+        room -= need.cpu;
+        moved.push_back(item->offer.job);
+    }
+    for (const job_id& id : moved) {
+        record(decision::returned_to_owner, id, {}, "another pool has room");
+        tell(find_job(id)->owner, job_result{id, m_options.self, job_end::returned, {}, {}});
+        m_jobs.erase(id);
+    }
+}
+
+void pool::finish_job(time_point now, const job_id& id, job_result result)
+{
+    const job* item = find_job(id);
+    stop_tasks(now, *item);
+    record(decision::job_ended, id, {}, std::string(to_string(result.end)), since(now, item->arrived),
+           item->offer.objective);
+    tell(item->owner, std::move(result));
+    m_jobs.erase(id);
+}
+
+void pool::drop_job(time_point now, const job_id& id, std::string_view cause)
+{
+    const job* item = find_job(id);
+    if (item == nullptr) {
+        return;
+    }
+    record(decision::job_ended, id, {}, std::string(cause), since(now, item->arrived), item->offer.objective);
+    stop_tasks(now, *item);
+    m_jobs.erase(id);
+}
+
+void pool::stop_tasks(time_point now, const job& item)
+{
+    for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
+        const task& one = item.tasks[number];
+        if (one.state != task_state::starting && one.state != task_state::running) {
+            continue;
+        }
+        worker& on = m_workers.at(one.worker);
+        const auto found = on.runs.find(ref_of(item, number));
+        if (found != on.runs.end()) {
+            send_stop(now, on, found->second);
+        }
+    }
+}
+
+void pool::on_cancel(time_point now, const endpoint& owner, const job_id& id)
+{
+    const job* item = find_job(id);
+    if (item != nullptr && item->owner == owner) {
+        drop_job(now, id, "cancelled");
+        schedule(now);
+    }
+}
+
+void pool::on_owner_lost(time_point now, const endpoint& owner)
+{
+    std::vector<job_id> lost;
+    for (const auto& [id, item] : m_jobs) {
+        if (item->owner == owner) {
+            lost.push_back(id);
+        }
+    }
+    for (const job_id& id : lost) {
+        drop_job(now, id, "owner lost");
+    }
+}
+
+void pool::on_other_pools(std::vector<pool_load> loads)
+{
+    m_others = std::move(loads);
+}
+
+void pool::record(decision what, const job_id& subject, const worker_id& on, std::string detail, milliseconds input,
+                  milliseconds limit)
+{
+    m_actions.emplace_back(decision_record{what, subject, on, std::move(detail), input.count(), limit.count()});
+}
+
+void pool::tell(const endpoint& owner, owner_message message)
+{
+    m_actions.emplace_back(to_owner{owner, std::move(message)});
+}
+
+std::vector<action> pool::take_actions()
+{
+    for (auto& [id, tasks] : m_progress) {
+        if (const job* item = find_job(id)) {
+            tell(item->owner, job_progress{id, std::move(tasks)});
+        }
+    }
+    m_progress.clear();
+    return std::exchange(m_actions, {});
+}
+
+std::size_t pool::job_count() const
+{
+    return m_jobs.size();
+}
+
+std::size_t pool::run_count() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, item] : m_workers) {
+        total += item.runs.size();
+    }
+    return total;
+}
+
+}  // namespace poplarshed::workers
--- /dev/null
+++ b/source/workers/types.cpp
@@ -0,0 +1,30 @@
+#include "workers/types.h"
+
+#include <array>
+
+namespace poplarshed::workers {
+
+namespace {
+
+constexpr std::array<std::string_view, decision_count> decision_names{
+    "admitted",       "refused_no_worker", "refused_too_late", "returned_to_owner", "started",
+    "start_failed",   "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
+    "worker_silent",  "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
+    "fenced"};
+
+constexpr std::array<std::string_view, job_end_count> end_names{"completed", "failed",  "refused",
+                                                                "returned",  "gave_up", "not_held"};
+
+}  // namespace
+
+std::string_view to_string(decision value)
+{
+    return decision_names.at(static_cast<std::size_t>(value));
+}
+
+std::string_view to_string(job_end value)
+{
+    return end_names.at(static_cast<std::size_t>(value));
+}
+
+}  // namespace poplarshed::workers
