workers: adopt listed runs of jobs that were offered before the listing

Cause: a new holder matched runs of its predecessor only when a job was offered. A listing that came later added the run, but the job's task stayed waiting and was started a second time. Ruled out: a missing fence (the former holder sent nothing after the takeover). Change: match again for each listing. Test first: workers/takeover, two of four cases failed.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -130,7 +130,9 @@
 
     // Jobs
     job* find_job(const job_id& id);
+    void mark_done(job& item, std::uint32_t number);
     void adopt(time_point now, job& item);
+    void finish_if_done(time_point now, const job_id& id);
     bool admit(time_point now, job& item);
     void finish_job(time_point now, const job_id& id, job_result result);
     void drop_job(time_point now, const job_id& id, std::string_view cause);
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -73,42 +73,44 @@
     }
     item.waiting = static_cast<std::uint32_t>(item.tasks.size());
     item.offer = std::move(offer);
+    item.started = item.offer.may_have_run;
+    for (const std::uint32_t number : item.offer.done_tasks) {
+        mark_done(item, number);
+    }
     adopt(now, item);
     if (!item.started && !admit(now, item)) {
         return;
     }
     const job_id id = item.offer.job;
     m_jobs.emplace(id, std::move(created));
-    if (item.done == item.tasks.size()) {
-        finish_job(now, id, {id, m_options.self, job_end::completed, {}, {}});
+    finish_if_done(now, id);
+    schedule(now);
+}
+
+void pool::mark_done(job& item, std::uint32_t number)
+{
+    if (number >= item.tasks.size() || item.tasks[number].state != task_state::waiting) {
         return;
     }
-    schedule(now);
+    item.tasks[number].state = task_state::done;
+    --item.waiting;
+    ++item.done;
+    --item.step_left.at(ref_of(item, number).step);
 }
 
+// Takes what a former holder has started or seen end. Called with each offer, and again for each listing, since
+// owners and workers answer a new holder in any order.
 void pool::adopt(time_point now, job& item)
 {
-    item.started = item.offer.may_have_run;
-    const auto mark_done = [&item, this](std::uint32_t number) {
-        if (number >= item.tasks.size() || item.tasks[number].state != task_state::waiting) {
-            return;
-        }
-        item.tasks[number].state = task_state::done;
-        --item.waiting;
-        ++item.done;
-        --item.step_left.at(ref_of(item, number).step);
-    };
-    for (const std::uint32_t number : item.offer.done_tasks) {
-        mark_done(number);
-    }
     for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
         if (m_orphan_ends.erase(ref_of(item, number)) > 0) {
-            mark_done(number);
+            mark_done(item, number);
+            item.started = true;
         }
     }
     for (auto& [id, on] : m_workers) {
         for (auto& [ref, running] : on.runs) {
-            if (ref.job != item.offer.job || ref.step >= item.first_task.size()) {
+            if (!running.orphan || ref.job != item.offer.job || ref.step >= item.first_task.size()) {
                 continue;
             }
             const std::uint32_t number = number_of(item, ref);
@@ -127,6 +129,14 @@
     }
 }
 
+void pool::finish_if_done(time_point now, const job_id& id)
+{
+    const job* item = find_job(id);
+    if (item != nullptr && item->done == item->tasks.size()) {
+        finish_job(now, id, {id, m_options.self, job_end::completed, {}, {}});
+    }
+}
+
 bool pool::admit(time_point now, job& item)
 {
     const double ratio = mean_ratio(now);
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -174,6 +174,7 @@
     on.incarnation = answer.incarnation;
     note_clock(now, on, answer.clock_ms);
     std::set<task_ref> present;
+    std::set<job_id> adopting;
     for (const listed_run& item : answer.running) {
         present.insert(item.task);
         const auto found = on.runs.find(item.task);
@@ -189,6 +190,7 @@
             orphan.orphan = true;
             on.used = on.used.plus(orphan.need);
             on.runs.emplace(item.task, orphan);
+            adopting.insert(item.task.job);
         } else if (found == on.runs.end()) {
             // A start that was given up and has arrived after all.
             m_actions.emplace_back(
@@ -207,6 +209,13 @@
             end_run(now, on, item.task, item.how);
         } else if (item.how == run_end::done && now - m_created < orphan_end_time) {
             m_orphan_ends.emplace(item.task, now);
+            adopting.insert(item.task.job);
+        }
+    }
+    for (const job_id& id : adopting) {
+        if (job* item = find_job(id)) {
+            adopt(now, *item);
+            finish_if_done(now, id);
         }
     }
     std::vector<task_ref> gone;
@@ -300,8 +309,8 @@
         m_progress[ref.job].push_back(number);
         if (item->done == item->tasks.size()) {
             m_progress.erase(ref.job);
-            finish_job(now, ref.job, {ref.job, m_options.self, job_end::completed, {}, {}});
         }
+        finish_if_done(now, ref.job);
         return;
     }
     if (how == run_end::failed) {
--- /dev/null
+++ b/tests/workers/pool_fixture.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "workers/workers.h"
+
+namespace poplarshed::workers::test {
+
+/// A pool whose orders are kept instead of sent; workers answer when the test says so.
+class pool_fixture {
+public:
+    explicit pool_fixture(std::size_t worker_count = 1, std::int64_t cpu = 32'000)
+        : m_pool(options(), m_now)
+    {
+        std::vector<worker_entry> entries;
+        for (std::size_t i = 0; i < worker_count; ++i) {
+            entries.push_back(entry(i, cpu));
+        }
+        m_pool.on_directory(m_now, entries);
+        take();
+    }
+
+    static pool_options options()
+    {
+        pool_options values;
+        values.pool = pool_id("ollur/desk/0");
+        values.service = service_id("desk");
+        values.self = endpoint("10.0.0.1:1");
+        values.token = fencing_token(7);
+        return values;
+    }
+
+    static worker_entry entry(std::size_t index, std::int64_t cpu = 32'000)
+    {
+        worker_entry value;
+        value.id = worker_id("w" + std::to_string(index));
+        value.address = endpoint("10.1.0." + std::to_string(index + 1) + ":1");
+        value.service = service_id("desk");
+        value.data_centre = data_centre_id("ollur");
+        value.capacity = {cpu, 65'536, 0};
+        return value;
+    }
+
+    static job_offer offer(const std::string& id, std::uint32_t tasks, milliseconds estimate = milliseconds(200))
+    {
+        job_offer value;
+        value.job = job_id(id);
+        value.owner = endpoint("10.0.0.2:1");
+        value.service = service_id("desk");
+        job_step step;
+        step.tasks = tasks;
+        step.need = {14'000, 64, 0};
+        step.estimate = estimate;
+        value.steps = {step};
+        value.max_attempts = 3;
+        value.objective = estimate * 8 / 5 + milliseconds(60);
+        value.deadline = milliseconds(3000);
+        return value;
+    }
+
+    void offer_job(const job_offer& value)
+    {
+        m_pool.on_offer(m_now, value.owner, value);
+        take();
+    }
+
+    void list(std::size_t index, std::vector<listed_run> running = {}, std::vector<listed_end> ended = {})
+    {
+        listing answer;
+        answer.worker = entry(index).id;
+        answer.incarnation = 1;
+        answer.clock_ms = 5000;
+        answer.running = std::move(running);
+        answer.ended = std::move(ended);
+        m_pool.on_listing(m_now, answer);
+        take();
+    }
+
+    void pass(milliseconds time)
+    {
+        m_now += time;
+        m_pool.on_tick(m_now);
+        take();
+    }
+
+    /// Moves what the pool has ordered and told into the lists below.
+    void take()
+    {
+        for (action& item : m_pool.take_actions()) {
+            if (auto* start = std::get_if<start_order>(&item)) {
+                starts.push_back(*start);
+            } else if (auto* stop = std::get_if<stop_order>(&item)) {
+                stops.push_back(*stop);
+            } else if (auto* out = std::get_if<to_owner>(&item)) {
+                if (auto* result = std::get_if<job_result>(&out->message)) {
+                    results.push_back(*result);
+                }
+            }
+        }
+    }
+
+    pool& get() { return m_pool; }
+    time_point now() const { return m_now; }
+
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<job_result> results;
+
+private:
+    time_point m_now{seconds(1000)};
+    pool m_pool;
+};
+
+}  // namespace poplarshed::workers::test
--- /dev/null
+++ b/tests/workers/takeover_test.cpp
@@ -0,0 +1,73 @@
+#include <boost/test/unit_test.hpp>
+
+#include "pool_fixture.h"
+
+namespace poplarshed::workers::test {
+
+BOOST_AUTO_TEST_SUITE(takeover)
+
+BOOST_AUTO_TEST_SUITE(when_a_job_is_offered_again_before_the_workers_are_listed)
+
+// Guards against a second run of a task that a former holder has started.
+BOOST_AUTO_TEST_CASE(a_listed_run_is_adopted_and_not_started_again)
+{
+    pool_fixture world(2);
+    job_offer again = pool_fixture::offer("j", 1);
+    again.may_have_run = true;
+    world.offer_job(again);
+    world.list(0, {{{job_id("j"), 0, 0}, run_number(5), 0}});
+    world.list(1);
+    world.pass(milliseconds(20));
+    BOOST_TEST(world.starts.empty());
+    world.list(0, {}, {{1, {job_id("j"), 0, 0}, run_number(5), run_end::done}});
+    BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+    BOOST_TEST((world.results[0].end == job_end::completed));
+}
+
+// Guards against a second run of a task that has ended under the former holder.
+BOOST_AUTO_TEST_CASE(a_listed_end_counts_for_the_job)
+{
+    pool_fixture world(1);
+    job_offer again = pool_fixture::offer("j", 1);
+    again.may_have_run = true;
+    world.offer_job(again);
+    world.list(0, {}, {{1, {job_id("j"), 0, 0}, run_number(5), run_end::done}});
+    BOOST_TEST(world.starts.empty());
+    BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+    BOOST_TEST((world.results[0].end == job_end::completed));
+}
+
+// Guards against a start while an unlisted worker may still run the task.
+BOOST_AUTO_TEST_CASE(nothing_starts_before_every_worker_is_listed_or_its_lease_has_lapsed)
+{
+    pool_fixture world(2);
+    job_offer again = pool_fixture::offer("j", 1, milliseconds(900));
+    again.may_have_run = true;
+    world.offer_job(again);
+    world.list(0);
+    world.pass(milliseconds(500));
+    BOOST_TEST(world.starts.empty());
+    world.pass(milliseconds(700));
+    BOOST_TEST(world.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_no_owner_claims_a_run)
+
+// Guards against capacity that stays taken by runs whose callers have left.
+BOOST_AUTO_TEST_CASE(the_run_is_stopped)
+{
+    pool_fixture world(1);
+    world.list(0, {{{job_id("j"), 0, 0}, run_number(5), 0}});
+    world.pass(milliseconds(300));
+    BOOST_TEST(world.stops.empty());
+    world.pass(milliseconds(400));
+    BOOST_TEST(world.stops.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::workers::test
