workers: wait for uncertain tasks by the age of the loss, not of the pool

Ruled out: a missing adoption (the run was on a worker that had not been listed). Change: an offer carries the time until the former holder's runs have lapsed, counted from its last sign of life or its hand-over; otherwise every worker must have been listed. Orphans are kept for the adoption time from when they are found. A job waits for a holder for up to 2.5 s after a start; statuses older than 180 ms are avoided; pools go to the instances with the most processor time left. Test first: takeover/the_age_of_the_pool_says_nothing..., two checks failed before.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -70,7 +70,7 @@
       m_store({m_settings.name, m_settings.peers, m_settings.data_centre}, surroundings),
       m_peers(m_settings.peers, m_settings.data_centre),
       m_ownership(steady_clock::now()),
-      m_router({}, m_peers),
+      m_router({}, m_peers, steady_clock::now()),
       m_front(front_options_of(m_settings), m_inbox, [this] { return m_metrics.to_prometheus(); }),
       m_http({connections_per_host}, [this](http::call_id call, http::response response) {
           m_inbox.push(call_ended{call, std::move(response)});
@@ -307,6 +307,7 @@
     workers::instance_status status;
     status.address = m_settings.peers;
     status.data_centre = m_settings.data_centre;
+    status.cpu_milli = m_settings.cpu_milli;
     status.leaving = m_leaving;
     status.directory_current = m_store.current(now);
     status.configuration_version = m_configuration.version;
@@ -493,7 +494,7 @@
     const auto records = m_store.pool_records();
     const bool reachable = m_store.reachable(now) && m_store.lease().has_value();
     for (auto& action :
-         m_ownership.decide(now, {m_peers, records, m_pool_map, reachable, m_leaving})) {
+         m_ownership.decide(now, {m_peers, records, m_pool_map, m_settings.cpu_milli, reachable, m_leaving})) {
         if (const auto* claim = std::get_if<routing::claim_pool>(&action)) {
             call_store(m_store.claim(claim->pool, claim->expected_revision));
         } else if (const auto* hold = std::get_if<routing::hold_pool>(&action)) {
--- a/source/instance/settings.cpp
+++ b/source/instance/settings.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t max_file_bytes = 1U << 18U;
 constexpr std::uint64_t max_duration_ms = 600'000;
 constexpr double max_slowdown = 100;
+constexpr double max_cpu_share = 1024;
+constexpr double milli = 1000;
 
 class reader {
 public:
@@ -22,6 +24,9 @@
             std::string data_centre;
             required(in, "data_centre", data_centre);
             values.data_centre = data_centre_id(data_centre);
+            double share = 1;
+            in.read("cpu_share", share, 0.001, max_cpu_share);
+            values.cpu_milli = static_cast<std::int64_t>(share * milli);
         });
         section("callers", true, [&](json::object_reader& in) {
             in.require("listen");
--- a/source/instance/settings.h
+++ b/source/instance/settings.h
@@ -11,6 +11,7 @@
 struct settings {
     std::string name;                 ///< instance.name, required: unique among the instances
     data_centre_id data_centre;       ///< instance.data_centre, required
+    std::int64_t cpu_milli = 1000;    ///< instance.cpu_share times 1000; cores that the process may use
     endpoint callers;                 ///< callers.listen, required
     std::string time_limit_header = "Poplarshed-Timeout-Ms";  ///< callers.time_limit_header
     endpoint readiness;               ///< readiness.listen; empty: not served
--- a/source/routing/ownership.cpp
+++ b/source/routing/ownership.cpp
@@ -7,15 +7,24 @@
 namespace {
 
 // Time for the statuses of all instances to arrive after a start.
-constexpr milliseconds settling_time{700};
+constexpr milliseconds settling_time{350};
 // An instance of another data centre waits this long for one of the pool's own.
 constexpr milliseconds foreign_delay{400};
 // Fallback where the store is away: the record cannot be changed, so the holder must be silent for longer.
 constexpr milliseconds storeless_delay{800};
 
-std::uint64_t preference(const pool_id& pool, const endpoint& address)
+/// Rank of an instance as the holder of a pool; the highest takes it.
+struct preference {
+    std::int64_t cpu_for_each_pool = 0;
+    std::uint64_t tie_break = 0;
+
+    auto operator<=>(const preference&) const = default;
+};
+
+// Instances differ in size: each pool goes where the most processor time is left for it.
+preference preference_of(const pool_id& pool, const endpoint& address, std::int64_t cpu_milli, std::size_t held)
 {
-    return digest::of(pool.value() + '@' + address.value()).prefix();
+    return {cpu_milli / static_cast<std::int64_t>(held + 1), digest::of(pool.value() + '@' + address.value()).prefix()};
 }
 
 }  // namespace
@@ -78,7 +87,9 @@
     const auto others = view.peers.live(now);
     const auto record = view.records.find(pool);
     bool held_elsewhere = false;
-    std::uint64_t best = preference(pool, view.peers.self());
+    const preference own_rank =
+        preference_of(pool, view.peers.self(), view.cpu_milli, m_held.size() + m_claiming.size());
+    preference best = own_rank;
     for (const workers::instance_status* other : others) {
         const bool holds = std::any_of(other->pools.begin(), other->pools.end(),
                                        [&pool](const workers::pool_load& load) { return load.pool == pool; });
@@ -91,10 +102,10 @@
             return false;
         }
         if (at_home == own) {
-            best = std::max(best, preference(pool, other->address));
+            best = std::max(best, preference_of(pool, other->address, other->cpu_milli, other->pools.size()));
         }
     }
-    if (best != preference(pool, view.peers.self())) {
+    if (best != own_rank) {
         return false;
     }
     const bool recorded =
--- a/source/routing/ownership.h
+++ b/source/routing/ownership.h
@@ -40,6 +40,7 @@
     const peer_table& peers;
     const std::map<pool_id, pool_record>& records;
     const pool_map& pools;
+    std::int64_t cpu_milli = 0;  ///< processor share of this instance
     bool store_reachable = false;
     bool leaving = false;
 };
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -13,6 +13,9 @@
 // Hint to callers while no pool has a holder; a takeover takes about this long.
 constexpr milliseconds takeover_retry_after{500};
 constexpr std::uint32_t last_return = 2;
+// A holder whose status is older than three intervals may be cut off; its pool is chosen only where no other is.
+constexpr milliseconds fresh_status = status_interval * 3;
+constexpr milliseconds stale_cost{1000};
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
     "offered", "offered_again", "offered_elsewhere", "waits_for_lapse", "answered", "caller_left"};
@@ -40,7 +43,9 @@
     return decision_names.at(static_cast<std::size_t>(value));
 }
 
-router::router(router_options options, const peer_table& peers) : m_options(options), m_peers(peers) {}
+router::router(router_options options, const peer_table& peers, time_point started)
+    : m_options(options), m_peers(peers), m_holder_expected_until(started + options.holder_absence)
+{}
 
 std::optional<caller_id> router::on_job(time_point now, caller_id caller, const route& target, caller_job sent)
 {
@@ -70,7 +75,7 @@
     m_callers.emplace(caller, id);
     job& kept = m_jobs.emplace(id, std::move(item)).first->second;
     if (!offer(now, kept, routing_decision::offered)) {
-        answer(now, id, answer_kind::refused, refusal_reason::no_runners, takeover_retry_after);
+        wait_for_holder(now, id);
     }
     return std::nullopt;
 }
@@ -99,10 +104,11 @@
             return;
         }
         const bool near = status.data_centre == m_peers.data_centre();
-        const milliseconds cost = *predicted + (near ? milliseconds(0) : remote_cost);
+        const milliseconds age = m_peers.silence(now, status.address).value_or(milliseconds(0));
+        const milliseconds cost = *predicted + (near ? milliseconds(0) : remote_cost) +
+                                  (age > fresh_status ? stale_cost : milliseconds(0));
         if (!best || cost < best_cost) {
-            best = choice{load.pool, status.address, *predicted,
-                          m_peers.silence(now, status.address).value_or(milliseconds(0))};
+            best = choice{load.pool, status.address, *predicted, age};
             best_cost = cost;
         }
     });
@@ -120,6 +126,7 @@
     if (!chosen) {
         return false;
     }
+    m_holder_expected_until = now + m_options.holder_absence;
     send_offer(now, item, *chosen, what);
     return true;
 }
@@ -145,6 +152,20 @@
     m_sent.erase(holder);
 }
 
+// Load pattern: requests arrive while all instances restart, or while the only holder is being replaced. A
+// holder is there within a second; without a sign of one for longer, requests are refused at once.
+void router::wait_for_holder(time_point now, const job_id& id)
+{
+    job& item = m_jobs.at(id);
+    const milliseconds chain = workers::longest_chain(item.offer.steps);
+    const time_point useful = item.arrived + item.offer.objective * workers::late_multiple - chain;
+    if (now < std::min({m_holder_expected_until, useful, item.deadline_at - chain})) {
+        item.holder = endpoint();
+        return;
+    }
+    answer(now, id, answer_kind::refused, refusal_reason::no_runners, takeover_retry_after);
+}
+
 bool router::on_cancelled(time_point now, const job_id& id)
 {
     const auto found = m_jobs.find(id);
@@ -239,7 +260,7 @@
     if (!result.may_have_run && !item.offer.may_have_run) {
         item.returned_by.clear();
         if (!offer(now, item, routing_decision::offered_elsewhere)) {
-            answer(now, result.job, answer_kind::refused, refusal_reason::no_runners, takeover_retry_after);
+            wait_for_holder(now, result.job);
         }
         return;
     }
@@ -250,9 +271,11 @@
     follow_holder(now, result.job);
 }
 
-void router::prepare_again(job& item)
+void router::prepare_again(time_point now, job& item) const
 {
     item.offer.may_have_run = true;
+    item.offer.uncertain_for =
+        std::max(milliseconds(0), m_options.lost_holder_time - since(now, item.lost_at));
     if (std::exchange(item.uncertain_known, false)) {
         return;
     }
@@ -297,7 +320,10 @@
     endpoint holder;
     const workers::pool_load* load = m_peers.holder(now, item.offer.pool, holder);
     if (load != nullptr && holder != item.holder) {
-        prepare_again(item);
+        if (!item.lost) {
+            item.lost_at = now - m_peers.silence(now, item.holder).value_or(milliseconds(0));
+        }
+        prepare_again(now, item);
         send_offer(now, item, {item.offer.pool, holder, {}, m_peers.silence(now, holder).value_or(milliseconds(0))},
                    routing_decision::offered_again);
         return;
@@ -316,8 +342,7 @@
     if (now < item.lost_at + m_options.lost_holder_time) {
         return;
     }
-    prepare_again(item);
-    item.offer.uncertain_tasks.clear();  // whatever ran has lapsed
+    prepare_again(now, item);
     if (!offer(now, item, routing_decision::offered_elsewhere)) {
         give_up(now, id, refusal_reason::owner_lost);
     }
@@ -335,7 +360,12 @@
             give_up(now, id, refusal_reason::timed_out);
             continue;
         }
-        follow_holder(now, id);
+        job& item = m_jobs.at(id);
+        if (!item.holder.empty()) {
+            follow_holder(now, id);
+        } else if (!offer(now, item, routing_decision::offered)) {
+            wait_for_holder(now, id);
+        }
     }
 }
 
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -64,15 +64,15 @@
     /// A holder that hears nothing of this instance stops its jobs after silence_limit; what runs on workers that
     /// it cannot reach ends with the lease. After both, nothing of a job runs in the pool.
     milliseconds lost_holder_time{600 + 1000 + 120 + 180};
-    /// A job whose pool has no holder waits this long for one.
-    milliseconds handover_time{1500};
+    /// While no pool has had a holder for longer, requests are refused at once. A start or takeover takes less.
+    milliseconds holder_absence{2500};
 };
 
 /// Owns the jobs of this instance's callers: chooses a pool for each, follows holders, and answers once.
 /// Not thread-safe; no I/O.
 class router {
 public:
-    router(router_options options, const peer_table& peers);
+    router(router_options options, const peer_table& peers, time_point started);
 
     /// @returns the former caller of a job that was sent again; it gets no answer
     std::optional<caller_id> on_job(time_point now, caller_id caller, const route& target, caller_job job);
@@ -114,14 +114,16 @@
     bool offer(time_point now, job& item, routing_decision what);
     void send_offer(time_point now, job& item, const choice& chosen, routing_decision what);
     void answer(time_point now, const job_id& id, answer_kind kind, refusal_reason reason, milliseconds retry_after);
+    void wait_for_holder(time_point now, const job_id& id);
     void on_not_held(time_point now, const workers::job_result& result);
     /// Before another offer: which tasks the former holder may have started.
-    static void prepare_again(job& item);
+    void prepare_again(time_point now, job& item) const;
     void give_up(time_point now, const job_id& id, refusal_reason reason);
     void follow_holder(time_point now, const job_id& id);
 
     router_options m_options;
     const peer_table& m_peers;
+    time_point m_holder_expected_until;
     std::unordered_map<job_id, job> m_jobs;
     std::unordered_map<caller_id, job_id> m_callers;
     struct sent_work {
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -90,7 +90,8 @@
     const auto uncertain = out.CreateVector(value.uncertain_tasks);
     return fb::Createpool_offer(out, job, pool, service, payload, steps, value.priority, value.max_attempts,
                                 value.age.count(), value.objective.count(), value.deadline.count(),
-                                value.returns, value.may_have_run, done, owner, uncertain);
+                                value.returns, value.may_have_run, done, owner, uncertain,
+                                value.uncertain_for.count());
 }
 
 std::optional<workers::job_offer> unpack(const fb::pool_offer& table)
@@ -111,6 +112,7 @@
     value.may_have_run = table.may_have_run();
     value.done_tasks = numbers(table.done_tasks());
     value.uncertain_tasks = numbers(table.uncertain_tasks());
+    value.uncertain_for = milliseconds(table.uncertain_for_ms());
     return valid(value.steps) ? std::optional(std::move(value)) : std::nullopt;
 }
 
@@ -161,13 +163,14 @@
     const auto data_centre = pack(out, value.data_centre);
     const auto pools = pack_each(out, value.pools, [&out](const auto& item) { return pack(out, item); });
     return fb::Createinstance_status(out, address, data_centre, value.leaving, value.directory_current,
-                                     value.configuration_version, value.store_revision, pools);
+                                     value.configuration_version, value.store_revision, pools, value.cpu_milli);
 }
 
 std::optional<workers::instance_status> unpack(const fb::instance_status& table)
 {
     return workers::instance_status{endpoint(table.address()->str()),
                                     data_centre_id(table.data_centre()->str()),
+                                    table.cpu_milli(),
                                     table.leaving(),
                                     table.directory_current(),
                                     table.configuration_version(),
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -91,6 +91,7 @@
         std::uint32_t done = 0;
         bool started = false;  ///< a start was sent, here or by a former holder
         std::set<std::uint32_t> uncertain;  ///< tasks that a former holder may have started
+        time_point uncertain_until;         ///< what it started has lapsed by then
     };
 
     struct run {
@@ -150,7 +151,7 @@
     std::optional<worker_id> choose(time_point now, const job& item, std::uint32_t number);
     void start(time_point now, job& item, std::uint32_t number, worker& on);
     bool usable(time_point now, const worker& item) const;
-    bool settled(time_point now) const;
+    bool knows_all_runs() const;
     milliseconds expected_on(time_point now, const worker& item, const job_step& step) const;
     double mean_ratio(time_point now) const;
     queue_rank rank(time_point now, const job& item, double ratio) const;
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -73,6 +73,7 @@
     }
     item.waiting = static_cast<std::uint32_t>(item.tasks.size());
     item.uncertain.insert(offer.uncertain_tasks.begin(), offer.uncertain_tasks.end());
+    item.uncertain_until = now + offer.uncertain_for;
     item.offer = std::move(offer);
     item.started = item.offer.may_have_run;
     for (const std::uint32_t number : item.offer.done_tasks) {
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -365,7 +365,7 @@
             stopped.push_back(ref);
         } else if (item.stopping && !item.stop_acknowledged && now > item.stop_sent + stop_retry && !on.silent) {
             send_stop(now, on, item);
-        } else if (item.orphan && !item.stopping && now > m_created + m_options.adoption_time) {
+        } else if (item.orphan && !item.stopping && now > item.sent + m_options.adoption_time) {
             record(decision::orphan_stopped, ref.job, on.entry.id, {});
             send_stop(now, on, item);
         } else if (!item.orphan && !item.stopping && !on.silent &&
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -27,14 +27,12 @@
            now >= item.ejected_until && item.clock_offset_ms.has_value();
 }
 
-// A former holder's runs are known, or have ended. Entries that are missing after an outage of the directory
-// may come back, so then only the lease counts.
-bool pool::settled(time_point now) const
+// Every worker has been listed under this pool's token, so that no former holder renews a lease there. Entries
+// that are missing after an outage of the directory may come back.
+bool pool::knows_all_runs() const
 {
-    const bool lapsed = now >= m_created + m_options.longest_lease + m_options.lapse_margin;
-    return lapsed || (m_complete && std::all_of(m_workers.begin(), m_workers.end(), [now](const auto& item) {
-                          return item.second.listed || now >= item.second.lapse_at;
-                      }));
+    return m_complete && std::all_of(m_workers.begin(), m_workers.end(),
+                                     [](const auto& item) { return item.second.listed; });
 }
 
 milliseconds pool::expected_on(time_point now, const worker& item, const job_step& step) const
@@ -139,11 +137,11 @@
     if (m_fenced) {
         return;
     }
-    const bool all_known = settled(now);
+    const bool all_known = knows_all_runs();
     for (job* item : waiting_in_order(now)) {
         for (std::uint32_t number = 0; number < item->tasks.size() && item->waiting > 0; ++number) {
             if (item->tasks[number].state != task_state::waiting ||
-                (!all_known && item->uncertain.contains(number))) {
+                (!all_known && now < item->uncertain_until && item->uncertain.contains(number))) {
                 continue;
             }
             if (!place(now, *item, number)) {
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -87,6 +87,7 @@
     std::uint32_t returns = 0;       ///< pools that have returned the job
     bool may_have_run = false;       ///< a former holder may have started tasks
     std::vector<std::uint32_t> uncertain_tasks;  ///< global numbers of those that it may have started
+    milliseconds uncertain_for{};  ///< after this time their runs have ended, unless a worker lists them
     std::vector<std::uint32_t> done_tasks;  ///< global task numbers that are known to be done
 
     bool operator==(const job_offer&) const = default;
@@ -149,6 +150,7 @@
 struct instance_status {
     endpoint address;
     data_centre_id data_centre;
+    std::int64_t cpu_milli = 0;  ///< processor share of the instance, in thousandths of a core
     bool leaving = false;
     bool directory_current = false;  ///< the sender hears of changes from the store itself
     std::uint64_t configuration_version = 0;
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -15,6 +15,7 @@
     job_offer again = pool_fixture::offer("j", 1);
     again.may_have_run = true;
     again.uncertain_tasks = {0};
+    again.uncertain_for = milliseconds(1100);
     world.offer_job(again);
     world.list(0, {{{job_id("j"), 0, 0}, run_number(5), 0}});
     world.list(1);
@@ -32,6 +33,7 @@
     job_offer again = pool_fixture::offer("j", 1);
     again.may_have_run = true;
     again.uncertain_tasks = {0};
+    again.uncertain_for = milliseconds(1100);
     world.offer_job(again);
     world.list(0, {}, {{1, {job_id("j"), 0, 0}, run_number(5), run_end::done}});
     BOOST_TEST(world.starts.empty());
@@ -46,6 +48,7 @@
     job_offer again = pool_fixture::offer("j", 1, milliseconds(900));
     again.may_have_run = true;
     again.uncertain_tasks = {0};
+    again.uncertain_for = milliseconds(1100);
     world.offer_job(again);
     world.list(0);
     world.pass(milliseconds(500));
@@ -54,6 +57,25 @@
     BOOST_TEST(world.starts.size() == 1U);
 }
 
+// Guards against a second run after a cut: the pool is old, but its workers were out of reach all the while and
+// the former holder has renewed their leases.
+BOOST_AUTO_TEST_CASE(the_age_of_the_pool_says_nothing_about_workers_that_were_never_listed)
+{
+    pool_fixture world(2);
+    world.list(0);
+    world.pass(milliseconds(5000));
+    job_offer again = pool_fixture::offer("j", 1, milliseconds(900));
+    again.may_have_run = true;
+    again.uncertain_tasks = {0};
+    again.uncertain_for = milliseconds(1200);
+    world.offer_job(again);
+    world.pass(milliseconds(100));
+    BOOST_TEST(world.starts.empty());
+    world.list(1, {{{job_id("j"), 0, 0}, run_number(5), 0}});
+    world.pass(milliseconds(200));
+    BOOST_TEST(world.starts.empty());
+}
+
 // Guards against a start of a task whose worker lapsed from the directory in an outage and is not known yet.
 BOOST_AUTO_TEST_CASE(an_incomplete_directory_makes_uncertain_tasks_wait_for_the_lease)
 {
@@ -63,6 +85,7 @@
     job_offer again = pool_fixture::offer("j", 2, milliseconds(900));
     again.may_have_run = true;
     again.uncertain_tasks = {0};
+    again.uncertain_for = milliseconds(1100);
     world.offer_job(again);
     BOOST_REQUIRE_EQUAL(world.starts.size(), 1U);
     BOOST_TEST(world.starts[0].task.index == 1U);
