--- a/source/dispatch/job.cpp
+++ b/source/dispatch/job.cpp
@@ -51,4 +51,10 @@
     return uncertain || ran_tasks > 0 ? verdict::may_have_run : verdict::not_run;
 }
 
+bool job::open_only_in_flight() const
+{
+    return in_flight > 0 && std::all_of(tasks.begin(), tasks.end(),
+                                        [](const task_state& task) { return task.ran == verdict::not_run; });
+}
+
 }  // namespace poplarshed::dispatch
--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -29,6 +29,12 @@
     void remove_running(attempt_id id);
 };
 
+/// Why a job fails while its abandoned attempts have not ended.
+struct pending_failure {
+    refusal_reason reason = refusal_reason::internal_error;
+    std::optional<std::uint32_t> task;
+};
+
 /// A job from its admission to its answer.
 struct job {
     job(job_request admitted, configuration::service service);
@@ -39,6 +45,8 @@
     std::uint32_t take_next();
     /// What is known of the job as a whole: not_run if no task ran, ran if every task ran.
     verdict ran() const;
+    /// True if only attempts in flight leave open whether anything ran.
+    bool open_only_in_flight() const;
 
     job_request request;
     configuration::service settings;  ///< as admitted
@@ -49,6 +57,7 @@
     std::size_t unfinished;
     std::size_t in_flight = 0;    ///< attempts
     bool started = false;         ///< an attempt was started
+    std::optional<pending_failure> failing;  ///< the job is answered when its attempts have ended
     double order = 0.0;           ///< place in the queue of its class
     work_class* owner = nullptr;  ///< of the expected_finish policy
 };
--- a/source/dispatch/job_engine.cpp
+++ b/source/dispatch/job_engine.cpp
@@ -157,6 +157,13 @@
     task_state& task = owner.tasks[ended.task];
     task.remove_running(result.attempt);
     --owner.in_flight;
+    if (owner.failing) {
+        task.ran = std::max(task.ran, result.ran);
+        if (!owner.open_only_in_flight()) {
+            end_failing(owner, now);
+        }
+        return;
+    }
     if (result.status == attempt_status::succeeded) {
         task.ran = verdict::ran;
         on_success(owner, ended.task, result.body, now);
@@ -185,7 +192,7 @@
     task_state& task = owner.tasks[failed.task];
     task.failed_on = failed.runner;
     if (result.status == attempt_status::rejected || is_faulty(task)) {
-        fail(owner, refusal_reason::task_failed, failed.task, now);
+        fail_after_attempts(owner, refusal_reason::task_failed, failed.task, now);
         return;
     }
     if (task.in_flight() > 0) {
@@ -199,7 +206,7 @@
     const auto delay = safe && task.attempts < owner.settings.attempts ? retry_delay(owner, task, now)
                                                                        : std::optional<duration>();
     if (!delay) {
-        fail(owner, refusal_reason::attempts_exhausted, failed.task, now);
+        fail_after_attempts(owner, refusal_reason::attempts_exhausted, failed.task, now);
         return;
     }
     if (const auto reason = reason_of(result.status)) {
@@ -227,7 +234,9 @@
 
 void job_engine::answer(job& owner, job_outcome outcome, time_point now)
 {
-    on_job_end(owner, now);
+    if (!owner.failing) {
+        on_job_end(owner, now);
+    }
     auto& tasks = m_team_tasks[owner.request.team];
     tasks -= owner.tasks.size();
     const job_key key = owner.request.key;
@@ -237,16 +246,46 @@
 
 void job_engine::fail(job& owner, refusal_reason reason, std::optional<std::uint32_t> task, time_point now)
 {
-    refusal cause = not_run(reason);
+    if (owner.failing) {
+        end_failing(owner, now);
+        return;
+    }
     if (!owner.started) {
-        answer(owner, job_refused{std::move(cause)}, now);
+        answer(owner, job_refused{not_run(reason)}, now);
+        return;
+    }
+    owner.failing = pending_failure{reason, task};
+    on_job_end(owner, now);
+    end_failing(owner, now);
+}
+
+void job_engine::fail_after_attempts(job& owner, refusal_reason reason, std::uint32_t task, time_point now)
+{
+    if (!owner.open_only_in_flight()) {
+        fail(owner, reason, task, now);
         return;
     }
+    owner.failing = pending_failure{reason, task};
+    on_job_end(owner, now);
+    // Attempts that are still connecting have run nothing; their results, which an abandoned attempt gives at
+    // once, decide the verdict.
+    for (const task_state& state : owner.tasks) {
+        for (const attempt_id id : state.running) {
+            if (id != attempt_id()) {
+                emit(abandon_attempt{id});
+            }
+        }
+    }
+}
+
+void job_engine::end_failing(job& owner, time_point now)
+{
+    refusal cause = not_run(owner.failing->reason);
     cause.ran = owner.ran();
     for (task_state& state : owner.tasks) {
         abandon_running(owner, state, retry_reason::unwanted_answer);
     }
-    answer(owner, job_failed{std::move(cause), task}, now);
+    answer(owner, job_failed{std::move(cause), owner.failing->task}, now);
 }
 
 std::vector<action> job_engine::cancel(job_key key, refusal_reason reason, time_point now)
@@ -290,6 +329,9 @@
         return;
     }
     job& owner = *found->second;
+    if (item.kind == timer_kind::retry && owner.failing) {
+        return;
+    }
     if (item.kind == timer_kind::retry) {
         const auto task = static_cast<std::uint32_t>(item.item);
         owner.tasks[task].queued = true;
--- a/source/dispatch/job_engine.h
+++ b/source/dispatch/job_engine.h
@@ -49,6 +49,8 @@
                      time_point now, double expected_seconds = 0.0);
     /// Ends a job with a refusal if no task of it started, else with a failure.
     void fail(job& owner, refusal_reason reason, std::optional<std::uint32_t> task, time_point now);
+    void fail_after_attempts(job& owner, refusal_reason reason, std::uint32_t task, time_point now);
+    void end_failing(job& owner, time_point now);
     void count(retry_reason reason, const service_id& service);
     void emit(action item) { m_actions.push_back(std::move(item)); }
     std::vector<action> take_actions();
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -169,7 +169,10 @@
         record(decision::worker_back, {}, answer.worker, {}, since(now, on.list_sent));
     }
     if (on.listed && answer.incarnation != on.incarnation) {
-        lapse_all(now, on, "started anew");
+        // Ends are numbered anew. A start that was on its way may run in the new life, so runs are judged by the
+        // list as usual.
+        record(decision::worker_lapsed, {}, answer.worker, "started anew",
+               milliseconds(static_cast<std::int64_t>(on.runs.size())));
         on.acknowledged = 0;
     }
     on.incarnation = answer.incarnation;
--- a/tests/dispatch/engine_test.cpp
+++ b/tests/dispatch/engine_test.cpp
@@ -76,6 +76,30 @@
     BOOST_TEST(f.core->jobs_in_flight() == 0);
 }
 
+// Guards against "may have run" for a job whose other attempts were still connecting when it failed.
+BOOST_AUTO_TEST_CASE(verdict_waits_for_abandoned_attempts)
+{
+    for (const verdict other : {verdict::not_run, verdict::may_have_run}) {
+        fixture f;
+        const auto started = all<start_attempt>(f.submit(1, 2));
+        BOOST_REQUIRE(started.size() == 2);
+        const auto refused = [&](std::size_t index, attempt_status status, verdict ran) {
+            attempt_result result;
+            result.attempt = started[index].attempt;
+            result.status = status;
+            result.ran = ran;
+            return f.core->on_result(result, f.now);
+        };
+        const auto first = refused(0, attempt_status::rejected, verdict::not_run);
+        BOOST_TEST(all<answer_job>(first).empty());
+        BOOST_REQUIRE(all<abandon_attempt>(first).size() == 1);
+        const auto answers = all<answer_job>(refused(1, attempt_status::abandoned, other));
+        BOOST_REQUIRE(answers.size() == 1);
+        BOOST_TEST((std::get<job_failed>(answers[0].outcome).cause.ran == other));
+        BOOST_TEST(f.core->jobs_in_flight() == 0);
+    }
+}
+
 // Guards against a failure that claims not_run while another task of the job may have run.
 BOOST_AUTO_TEST_CASE(cancelled_job_tells_what_ran)
 {
--- /dev/null
+++ b/tests/instance/settings_test.cpp
@@ -0,0 +1,58 @@
+#include <boost/test/unit_test.hpp>
+
+#include "instance/settings.h"
+
+namespace poplarshed::instance::test {
+
+namespace {
+
+const std::string valid = R"({
+  // comment
+  "instance": {"name": "front-1", "data_centre": "ollur", "cpu_share": 0.25},
+  "callers": {"listen": "127.0.0.1:1"},
+  "peers": {"listen": "127.0.0.1:2", "key": "k", "seeds": ["127.0.0.1:3"]},
+  "store": {"address": "127.0.0.1:4"}
+})";
+
+std::string without(const std::string& part)
+{
+    std::string text = valid;
+    text.replace(text.find(part), part.size(), "");
+    return text;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(instance_settings)
+
+BOOST_AUTO_TEST_CASE(a_valid_file_is_read)
+{
+    const auto values = parse_settings(valid, "file");
+    BOOST_REQUIRE(values.has_value());
+    BOOST_TEST(values.value().name == "front-1");
+    BOOST_TEST(values.value().cpu_milli == 250);
+    BOOST_TEST(values.value().seeds.size() == 1U);
+    BOOST_TEST(values.value().grace.count() == 6000);
+}
+
+// Guards against a daemon that starts with settings that it does not understand.
+BOOST_AUTO_TEST_CASE(faults_are_named)
+{
+    const auto fault = [](const std::string& text) {
+        const auto values = parse_settings(text, "file");
+        return values ? std::string() : values.error().message;
+    };
+    BOOST_TEST(fault("").find("file") != std::string::npos);
+    BOOST_TEST(fault(without(R"("name": "front-1", )")).find("instance.name") != std::string::npos);
+    BOOST_TEST(fault(without(R"("key": "k", )")).find("peers.key") != std::string::npos);
+    std::string bad_address = valid;
+    bad_address.replace(bad_address.find("127.0.0.1:4"), 11, "nowhere");
+    BOOST_TEST(fault(bad_address).find("store.address") != std::string::npos);
+    std::string misspelt = valid;
+    misspelt.replace(misspelt.find("\"seeds\""), 7, "\"seed\"");
+    BOOST_TEST(fault(misspelt).find("seed") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::instance::test
--- /dev/null
+++ b/tests/routing/router_test.cpp
@@ -0,0 +1,249 @@
+#include <boost/test/unit_test.hpp>
+
+#include "routing_fixture.h"
+
+namespace poplarshed::routing::test {
+
+namespace {
+
+struct fixture {
+    fixture() : peers(endpoint("self"), data_centre_id("ollur")), core({}, peers, now - seconds(10)) {}
+
+    void hear(const workers::instance_status& status)
+    {
+        peers.on_status(now, status);
+        core.on_status(status.address);
+    }
+
+    std::vector<routing_action> submit(const std::string& id, caller_id caller = caller_id(1))
+    {
+        route target;
+        target.service = service_id("desk");
+        target.stretch = 1.6;
+        target.allowance = milliseconds(60);
+        target.max_attempts = 3;
+        caller_job job;
+        job.job = job_id(id);
+        job.steps.resize(1);
+        job.steps[0].tasks = 2;
+        job.steps[0].need = {14'000, 64, 0};
+        job.steps[0].estimate = milliseconds(900);
+        job.time_limit = milliseconds(4000);
+        core.on_job(now, caller, target, job);
+        return core.take_actions();
+    }
+
+    std::vector<routing_action> answer(const std::string& from, const std::string& id, workers::job_end end,
+                                       bool may_have_run = false)
+    {
+        workers::job_result result;
+        result.job = job_id(id);
+        result.holder = endpoint(from);
+        result.end = end;
+        result.reason = refusal_reason::deadline_unreachable;
+        result.retry_after = milliseconds(200);
+        result.may_have_run = may_have_run;
+        core.on_result(now, endpoint(from), result);
+        return core.take_actions();
+    }
+
+    std::vector<routing_action> pass(milliseconds time)
+    {
+        now += time;
+        core.on_tick(now);
+        return core.take_actions();
+    }
+
+    time_point now{seconds(100)};
+    peer_table peers;
+    router core;
+};
+
+std::vector<workers::job_offer> offers(const std::vector<routing_action>& actions, const std::string& to)
+{
+    std::vector<workers::job_offer> found;
+    for (const to_holder& item : all<to_holder>(actions)) {
+        const auto* offer = std::get_if<workers::job_offer>(&item.message);
+        if (offer != nullptr && item.holder == endpoint(to)) {
+            found.push_back(*offer);
+        }
+    }
+    return found;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(jobs_of_callers)
+
+BOOST_AUTO_TEST_SUITE(when_a_job_arrives)
+
+// Guards against a queue in one pool while another has room.
+BOOST_AUTO_TEST_CASE(the_pool_with_room_gets_it)
+{
+    fixture f;
+    auto busy = load_of(ollur_pool, 1, 0);
+    busy.waiting_cpu_ms = 100'000'000;
+    f.hear(status_of("near", "ollur", {busy}));
+    f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+    BOOST_TEST(offers(f.submit("j"), "far").size() == 1U);
+}
+
+// Guards against one pool that gets everything between two of its statuses.
+BOOST_AUTO_TEST_CASE(what_was_sent_since_the_last_status_counts)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool, 1, 28'000)}));
+    f.hear(status_of("far", "punkunnam", {load_of(other_pool, 1, 28'000)}));
+    BOOST_TEST(offers(f.submit("a", caller_id(1)), "near").size() == 1U);
+    BOOST_TEST(offers(f.submit("b", caller_id(2)), "far").size() == 1U);
+}
+
+// Guards against jobs that are sent into a cut which has just begun.
+BOOST_AUTO_TEST_CASE(a_holder_without_fresh_statuses_is_avoided)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.now += milliseconds(250);
+    f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+    BOOST_TEST(offers(f.submit("j"), "far").size() == 1U);
+}
+
+// Guards against callers that wait for a pool that does not exist.
+BOOST_AUTO_TEST_CASE(it_is_refused_at_once_where_no_pool_has_had_a_holder)
+{
+    fixture f;
+    const auto answers = all<answer_caller>(f.submit("j"));
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].kind == answer_kind::refused));
+    BOOST_TEST(answers[0].retry_after.count() > 0);
+}
+
+// Guards against refusals in the moment between two holders.
+BOOST_AUTO_TEST_CASE(it_waits_for_a_holder_that_is_expected)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("a", caller_id(1));
+    f.hear(status_of("near", "ollur"));
+    BOOST_TEST(all<answer_caller>(f.submit("b", caller_id(2))).empty());
+    f.hear(status_of("next", "ollur", {load_of(ollur_pool, 2)}));
+    const auto later = offers(f.pass(milliseconds(20)), "next");
+    BOOST_TEST(std::any_of(later.begin(), later.end(), [](const auto& offer) {
+        return offer.job == job_id("b") && !offer.may_have_run;
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_pool_answers)
+
+// Guards against an answer that is held back.
+BOOST_AUTO_TEST_CASE(the_caller_is_answered_once)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    BOOST_TEST(all<answer_caller>(f.answer("near", "j", workers::job_end::completed)).size() == 1U);
+    BOOST_TEST(all<answer_caller>(f.answer("near", "j", workers::job_end::completed)).empty());
+}
+
+// Guards against a refusal where another pool would serve the job.
+BOOST_AUTO_TEST_CASE(a_returned_job_goes_to_another_pool)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+    f.submit("j");
+    BOOST_TEST(offers(f.answer("near", "j", workers::job_end::returned), "far").size() == 1U);
+}
+
+// Guards against "not run" for a job that a former holder has started.
+BOOST_AUTO_TEST_CASE(a_refusal_after_a_start_elsewhere_is_no_refusal)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.hear(status_of("near", "ollur"));
+    f.hear(status_of("next", "ollur", {load_of(ollur_pool, 2)}));
+    BOOST_REQUIRE_EQUAL(offers(f.pass(milliseconds(20)), "next").size(), 1U);
+    const auto answers = all<answer_caller>(f.answer("next", "j", workers::job_end::refused));
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].kind == answer_kind::unknown_end));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_holder_changes)
+
+// Guards against jobs that are lost with their holder, and against a second run of what it started.
+BOOST_AUTO_TEST_CASE(the_new_holder_gets_the_job_with_what_is_known)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.core.on_progress({job_id("j"), {0}});
+    f.hear(status_of("near", "ollur"));
+    f.hear(status_of("next", "ollur", {load_of(ollur_pool, 2)}));
+    const auto again = offers(f.pass(milliseconds(20)), "next");
+    BOOST_REQUIRE_EQUAL(again.size(), 1U);
+    BOOST_TEST(again[0].may_have_run);
+    BOOST_TEST((again[0].done_tasks == std::vector<std::uint32_t>{0}));
+    BOOST_TEST((again[0].uncertain_tasks == std::vector<std::uint32_t>{1}));
+    BOOST_TEST(again[0].uncertain_for.count() > 1000);
+}
+
+// Guards against a second run in another pool while the first one's lease lasts.
+BOOST_AUTO_TEST_CASE(another_pool_gets_it_only_after_the_lease)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+    BOOST_REQUIRE_EQUAL(offers(f.submit("j"), "near").size(), 1U);
+    milliseconds waited{};
+    std::vector<workers::job_offer> again;
+    while (again.empty() && waited < milliseconds(3000)) {
+        f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+        again = offers(f.pass(milliseconds(20)), "far");
+        waited += milliseconds(20);
+    }
+    BOOST_REQUIRE_EQUAL(again.size(), 1U);
+    // Silence until the holder stops the job, then the longest lease.
+    BOOST_TEST(waited.count() >= 600 + 1000);
+    BOOST_TEST(again[0].may_have_run);
+}
+
+// Guards against a wait for tasks that were never started.
+BOOST_AUTO_TEST_CASE(a_job_that_was_not_started_is_offered_as_new)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.hear(status_of("near", "ollur"));
+    f.hear(status_of("next", "ollur", {load_of(ollur_pool, 2)}));
+    const auto again = offers(f.answer("near", "j", workers::job_end::not_held, false), "next");
+    BOOST_REQUIRE_EQUAL(again.size(), 1U);
+    BOOST_TEST(!again[0].may_have_run);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_caller_leaves)
+
+// Guards against work for callers that have gone.
+BOOST_AUTO_TEST_CASE(the_holder_is_told)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.core.on_caller_left(f.now, caller_id(1));
+    const auto messages = all<to_holder>(f.core.take_actions());
+    BOOST_REQUIRE_EQUAL(messages.size(), 1U);
+    BOOST_TEST(std::holds_alternative<workers::job_cancel>(messages[0].message));
+    BOOST_TEST(f.core.job_count() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::routing::test
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -39,6 +39,41 @@
     };
 }
 
+/// Messages about leased workers; every number differs.
+inline std::vector<message> sample_pool_messages()
+{
+    using namespace workers;
+    job_offer offer;
+    offer.job = job_id("5c0e7a21d94b36f8");
+    offer.owner = endpoint("127.0.0.1:1");
+    offer.pool = pool_id("ollur/desk/0");
+    offer.service = service_id("desk");
+    offer.payload = std::string("a\0b", 3);
+    offer.steps = {{3, {14'000, 64, 1}, milliseconds(60), {}, "r1", "a", 2},
+                   {1, {1, 2, 0}, milliseconds(7), {0}, "", "", 0}};
+    offer.priority = 2;
+    offer.max_attempts = 4;
+    offer.age = milliseconds(5);
+    offer.objective = milliseconds(156);
+    offer.deadline = milliseconds(2300);
+    offer.returns = 1;
+    offer.may_have_run = true;
+    offer.uncertain_tasks = {1, 2};
+    offer.uncertain_for = milliseconds(900);
+    offer.done_tasks = {0};
+    const pool_load load{offer.pool, offer.service, fencing_token(9), 1, 2, 3, 4, 5};
+    return {
+        offer,
+        job_progress{offer.job, {3, 4}},
+        job_result{offer.job, endpoint("127.0.0.1:2"), job_end::not_held, refusal_reason::timed_out,
+                   milliseconds(8), false, {1}},
+        job_cancel{offer.job, endpoint("127.0.0.1:3")},
+        instance_status{endpoint("127.0.0.1:4"), data_centre_id("ollur"), 250, true, true, 6, 7, {load}},
+        directory_pull{endpoint("127.0.0.1:5"), 11},
+        directory_push{12, {{"servers/i-1", 13, "{}"}, {"k", 14, ""}}},
+    };
+}
+
 /// One message of each kind, with every optional field present and absent.
 inline std::vector<message> sample_messages()
 {
@@ -81,6 +116,9 @@
     for (message& value : sample_claims()) {
         all.push_back(std::move(value));
     }
+    for (message& value : sample_pool_messages()) {
+        all.push_back(std::move(value));
+    }
     return all;
 }
 
--- /dev/null
+++ b/tests/workers/policy_test.cpp
@@ -0,0 +1,106 @@
+#include <boost/test/unit_test.hpp>
+
+#include "workers/workers.h"
+
+namespace poplarshed::workers::test {
+
+namespace {
+
+const time_point now{seconds(10)};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(policy)
+
+BOOST_AUTO_TEST_SUITE(expected_finish_of_a_job)
+
+// Guards against refusals of work that would start at once.
+BOOST_AUTO_TEST_CASE(work_that_fits_takes_its_own_time)
+{
+    const auto finish = expected_finish({100'000, 50'000, 0}, {28'000, 28'000 * 200, milliseconds(200)});
+    BOOST_TEST(finish->count() == 200);
+}
+
+// Guards against an admission that ignores the queue.
+BOOST_AUTO_TEST_CASE(work_ahead_delays_it)
+{
+    const auto finish = expected_finish({100'000, 0, 10'000'000}, {28'000, 28'000 * 200, milliseconds(200)});
+    BOOST_TEST(finish->count() == 200 + 156);
+}
+
+BOOST_AUTO_TEST_CASE(no_capacity_means_no_finish)
+{
+    BOOST_TEST(!expected_finish({}, {1, 1, milliseconds(1)}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(order_of_the_queue)
+
+// Guards against late jobs that make the others late as well.
+BOOST_AUTO_TEST_CASE(jobs_that_can_be_in_time_go_before_overdue_ones)
+{
+    const queue_rank overdue{true, now - seconds(1), 1};
+    const queue_rank urgent{false, now, 1'000'000};
+    const queue_rank relaxed{false, now + seconds(1), 1};
+    BOOST_TEST((urgent < relaxed));
+    BOOST_TEST((relaxed < overdue));
+    BOOST_TEST((queue_rank{true, now, 5} < queue_rank{true, now - seconds(2), 6}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(choice_of_a_worker)
+
+const std::vector<placement_candidate> mixed{{0, milliseconds(100), 4000}, {1, milliseconds(200), 4000}};
+
+// Guards against slow answers while there is room.
+BOOST_AUTO_TEST_CASE(the_fastest_is_taken_while_there_is_room)
+{
+    const auto chosen = choose_worker(mixed, {now, now + seconds(1), now + seconds(3), false});
+    BOOST_TEST(chosen.value() == 0U);
+}
+
+// Guards against fast workers that are busy with work that slow ones can do in time.
+BOOST_AUTO_TEST_CASE(the_slowest_that_is_in_time_is_taken_when_room_is_scarce)
+{
+    BOOST_TEST(choose_worker(mixed, {now, now + seconds(1), now + seconds(3), true}).value() == 1U);
+    BOOST_TEST(choose_worker(mixed, {now, now + milliseconds(150), now + seconds(3), true}).value() == 0U);
+}
+
+// Guards against a start that is of no use to the caller.
+BOOST_AUTO_TEST_CASE(no_worker_is_taken_that_ends_after_the_useful_time)
+{
+    BOOST_TEST(!choose_worker(mixed, {now, now + milliseconds(20), now + milliseconds(60), false}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(speed_of_a_worker)
+
+// Guards against one wrong estimate that changes the placement of everything.
+BOOST_AUTO_TEST_CASE(it_settles_over_several_runs)
+{
+    speed_estimate speed;
+    speed.observe(now, milliseconds(100), milliseconds(180));
+    BOOST_TEST(speed.ratio(now) < 1.2);
+    for (int i = 0; i < 20; ++i) {
+        speed.observe(now, milliseconds(100), milliseconds(180));
+    }
+    BOOST_TEST(speed.ratio(now) > 1.7);
+}
+
+// Guards against a worker that is never tried again after it was slow for a few seconds.
+BOOST_AUTO_TEST_CASE(a_slow_phase_is_forgotten)
+{
+    speed_estimate speed;
+    speed.observe_running(now, milliseconds(100), milliseconds(900));
+    BOOST_TEST(speed.ratio(now) > 8);
+    BOOST_TEST(speed.ratio(now + seconds(12)) < 2.5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::workers::test
