routing: leave holders alone that reach no worker of the pool

Change: such a holder counts as none; the job goes elsewhere when the former holder's runs have lapsed. Test first: router/a_holder_without_workers_does_not_get_it.

--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -334,7 +334,8 @@
     job& item = m_jobs.at(id);
     endpoint holder;
     const workers::pool_load* load = m_peers.holder(now, item.offer.pool, holder);
-    if (load != nullptr && holder != item.holder) {
+    const bool reaches_workers = load != nullptr && load->capacity_cpu > 0;
+    if (reaches_workers && holder != item.holder) {
         if (!item.lost) {
             item.lost_at = now - m_peers.silence(now, item.holder).value_or(milliseconds(0));
         }
@@ -344,7 +345,7 @@
                    routing_decision::offered_again);
         return;
     }
-    const bool gone = load == nullptr;
+    const bool gone = load == nullptr || holder != item.holder;
     if (!item.lost && !gone) {
         return;
     }
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -192,6 +192,24 @@
     BOOST_TEST(again[0].uncertain_for.count() > 1000);
 }
 
+// Guards against jobs that wait at an instance which holds the pool and reaches none of its workers.
+BOOST_AUTO_TEST_CASE(a_holder_without_workers_does_not_get_it)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.hear(status_of("near", "ollur"));
+    auto unreachable = load_of(ollur_pool, 2, 0);
+    unreachable.capacity_cpu = 0;
+    f.hear(status_of("foreign", "punkunnam", {unreachable, load_of(other_pool)}));
+    BOOST_TEST(offers(f.pass(milliseconds(20)), "foreign").empty());
+    f.now += milliseconds(1900);
+    f.hear(status_of("foreign", "punkunnam", {unreachable, load_of(other_pool)}));
+    const auto again = offers(f.pass(milliseconds(20)), "foreign");
+    BOOST_REQUIRE_EQUAL(again.size(), 1U);
+    BOOST_TEST((again[0].pool == other_pool));
+}
+
 // Guards against a second run in another pool while the first one's lease lasts.
 BOOST_AUTO_TEST_CASE(another_pool_gets_it_only_after_the_lease)
 {
