--- a/tests/users_platform/store_link_test.cpp
+++ b/tests/users_platform/store_link_test.cpp
@@ -42,11 +42,9 @@
             const bool list = call.kind == instance::store_call::purpose::list;
             const bool watch = call.kind == instance::store_call::purpose::watch;
             const std::string rows = workers ? items : std::string();
-            link.on_answer(now, call,
-                           list || watch
-                               ? answered(200, std::string(list ? R"({"items":[)" : R"({"events":[)") + rows +
-                                                   "]" + rest)
-                               : answered(200, R"({"lease":4,"ttl_ms":1500})"));
+            std::string body(list ? R"({"items":[)" : R"({"events":[)");
+            body.append(rows).append("]").append(rest);
+            link.on_answer(now, call, answered(200, list || watch ? body : R"({"lease":4,"ttl_ms":1500})"));
         }
     }
 
