routing, instance: keep the division into pools while workers come and go

Cause: the number of pools of a data centre followed the number of its workers (117 workers: 3 pools, 121 workers: 4).

Tests that failed first: pool_host_test (memory access violation without the check), layout_test (121 workers had 4 pools).

--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <map>
 #include <memory>
 #include <unordered_map>
 
 #include "instance/caller_front.h"
 #include "instance/decision_log.h"
 #include "instance/events.h"
+#include "instance/pool_host.h"
 #include "instance/settings.h"
 #include "instance/store_link.h"
 #include "telemetry/telemetry.h"
@@ -16,10 +16,10 @@
 /// One instance: takes callers' jobs, holds pools of workers, and keeps in touch with its peers and the
 /// store. run() is the core thread; HTTP, peers, the log and signals have threads of their own, joined by the
 /// inbox.
-class daemon {
+class daemon : private pool_outputs {
 public:
     daemon(settings values, const protocol& surroundings);
-    ~daemon();
+    ~daemon() override;
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
 
@@ -31,14 +31,6 @@
     core_inbox& inbox() { return m_inbox; }
 
 private:
-    using worker_order = std::variant<workers::start_order, workers::stop_order, workers::list_order>;
-
-    struct pending_order {
-        routing::pool_id pool;
-        workers::fencing_token token;
-        worker_order order;
-    };
-
     using pending_call = std::variant<pending_order, store_call>;
 
     void handle(time_point now, request_arrived& event);
@@ -61,26 +53,30 @@
     void submit(time_point now, routing::caller_id caller, const routing::route& target, caller_call call,
                 const std::string& request_id);
 
+    void send_order(pending_order order) override;
+    void send_to_owner(time_point now, const endpoint& owner, workers::owner_message message) override;
+    void on_held_changed(time_point now) override { send_status(now); }
+    void log(time_point now, const workers::decision_record& record, const routing::pool_id& pool) override;
+    void log_hold(std::string_view event, const routing::pool_id& pool, std::string_view cause) override;
+
     void pump(time_point now);
-    void execute(time_point now, const routing::pool_id& pool, workers::action& action);
     void execute(time_point now, routing::routing_action& action);
-    void order(const routing::pool_id& pool, worker_order order);
     void call_store(store_call call);
     void send(time_point now, const endpoint& to, wire::message message);
     void deliver(time_point now, wire::message& message);
     void answer(const routing::answer_caller& value);
-    void log(time_point now, const workers::decision_record& record, const routing::pool_id& pool);
     void log(time_point now, const routing::routing_record& record);
 
     void tick(time_point now);
     void send_status(time_point now);
     void decide_ownership(time_point now);
-    void take_pool(time_point now, const routing::pool_id& pool, workers::fencing_token token);
-    void drop_pool(time_point now, const routing::pool_id& pool, std::string_view cause);
     void update_directory(time_point now);
+    void apply_configuration();
+    void divide_workers(time_point now);
+    void update_network();
+    void propose_layout(time_point now);
     void follow_store_state(time_point now);
     void ask_for_directory(time_point now);
-    void update_pool_views(time_point now);
     bool has_pool(time_point now) const;
     bool drained(time_point now) const;
     workers::instance_status own_status(time_point now) const;
@@ -93,20 +89,19 @@
     timer_service m_timers;
     store_link m_store;
     routing::peer_table m_peers;
-    routing::ownership m_ownership;
     routing::router m_router;
     routing::configuration m_configuration;
     bool m_configured = false;
-    routing::pool_map m_pool_map;
-    std::map<routing::pool_id, std::unique_ptr<workers::pool>> m_pools;
+    std::vector<workers::worker_entry> m_workers;
+    pool_host m_pools;
     std::unordered_map<http::call_id, pending_call> m_calls;
     std::uint64_t m_last_call = 0;
-    std::uint64_t m_last_run = 0;
     bool m_leaving = false;
     bool m_store_was_reachable = false;
     bool m_ready = false;
     time_point m_leave_until;
     time_point m_last_pull;
+    time_point m_next_proposal;
     std::vector<endpoint> m_network_targets;  ///< instances that get this one's status
     caller_front m_front;
     std::unique_ptr<peer::network> m_network;
--- /dev/null
+++ b/source/instance/daemon_peers.cpp
@@ -0,0 +1,135 @@
+#include "instance/daemon.h"
+
+namespace poplarshed::instance {
+
+void daemon::handle(time_point now, peer_message& event)
+{
+    deliver(now, event.message);
+}
+
+void daemon::deliver(time_point now, wire::message& message)
+{
+    std::visit(
+        [this, now](auto& item) {
+            if constexpr (requires { this->receive(now, item); }) {
+                receive(now, item);
+            }
+        },
+        message);
+}
+
+void daemon::handle(time_point now, const peer_down& event)
+{
+    if (event.evidence == peer::down_evidence::closed && m_peers.is_live(now, event.address)) {
+        m_log.event({severity::warning,
+                     telemetry::category::peer,
+                     "connection to peer closed",
+                     {},
+                     {{"peer", event.address.value()}}});
+        m_peers.on_down(event.address);
+    }
+}
+
+void daemon::receive(time_point now, workers::instance_status& message)
+{
+    if (!m_peers.is_live(now, message.address)) {
+        m_log.event({severity::info,
+                     telemetry::category::peer,
+                     "peer is live",
+                     {},
+                     {{"peer", message.address.value()}}});
+    }
+    m_peers.on_status(now, message);
+    m_router.on_status(message.address);
+}
+
+void daemon::receive(time_point now, workers::job_offer& message)
+{
+    if (!m_pools.on_offer(now, message)) {
+        send(now, message.owner,
+             workers::job_result{message.job,
+                                 m_settings.peers,
+                                 workers::job_end::not_held,
+                                 {},
+                                 {},
+                                 message.may_have_run,
+                                 message.uncertain_tasks});
+    }
+}
+
+void daemon::receive(time_point now, workers::job_cancel& message)
+{
+    m_pools.on_cancel(now, message);
+}
+
+void daemon::receive(time_point /*now*/, workers::job_progress& message)
+{
+    m_router.on_progress(message);
+}
+
+void daemon::receive(time_point now, workers::job_result& message)
+{
+    m_router.on_result(now, message.holder, message);
+}
+
+void daemon::receive(time_point now, workers::directory_pull& message)
+{
+    if (m_store.revision() > message.since && m_store.current(now)) {
+        send(now, message.from, m_store.relay());
+    }
+}
+
+void daemon::receive(time_point now, workers::directory_push& message)
+{
+    m_log.event({severity::info,
+                 telemetry::category::membership,
+                 "took the directory from a peer",
+                 {},
+                 {{"revision", static_cast<std::int64_t>(message.revision)},
+                  {"own_revision", static_cast<std::int64_t>(m_store.revision())}}});
+    m_store.on_relay(now, message);
+}
+
+void daemon::send(time_point now, const endpoint& to, wire::message message)
+{
+    if (to == m_settings.peers) {
+        deliver(now, message);
+        return;
+    }
+    if (!m_network->send(to, std::move(message))) {
+        m_log.event({severity::warning,
+                     telemetry::category::peer,
+                     "message to peer dropped",
+                     {},
+                     {{"peer", to.value()}}});
+    }
+}
+
+workers::instance_status daemon::own_status(time_point now) const
+{
+    workers::instance_status status;
+    status.address = m_settings.peers;
+    status.data_centre = m_settings.data_centre;
+    status.cpu_milli = m_settings.cpu_milli;
+    status.leaving = m_leaving;
+    status.directory_current = m_store.current(now);
+    status.configuration_version = m_configuration.version;
+    status.store_revision = m_store.revision();
+    status.pools = m_pools.loads(now);
+    return status;
+}
+
+void daemon::send_status(time_point now)
+{
+    const workers::instance_status status = own_status(now);
+    m_peers.on_status(now, status);
+    m_router.on_status(status.address);
+    for (const endpoint& to : m_network_targets) {
+        if (to != m_settings.peers) {
+            m_network->send(to, status);
+        }
+    }
+    m_pools.on_other_pools(m_peers, now);
+}
+
+}  // namespace poplarshed::instance
--- a/source/instance/settings.cpp
+++ b/source/instance/settings.cpp
@@ -40,7 +40,9 @@
         section("metrics", false, [&](json::object_reader& in) { address(in, "listen", values.metrics); });
         section("peers", true, [&](json::object_reader& in) {
             in.require("listen");
-            address(in, "listen", values.peers);
+            address(in, "listen", values.peers_listen);
+            values.peers = values.peers_listen;
+            address(in, "advertise", values.peers);
             required(in, "key", values.peer_key);
             read_seeds(in, values);
         });
@@ -91,7 +93,7 @@
 
     static void address(json::object_reader& in, const std::string& key, endpoint& target)
     {
-        std::string text;
+        std::string text = target.value();
         in.read(key, text);
         if (!text.empty() && !is_address(text)) {
             in.fault(key, "must be ip:port");
--- a/source/instance/store_link.cpp
+++ b/source/instance/store_link.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "json/json.h"
-
 namespace poplarshed::instance {
 
 namespace {
@@ -26,22 +24,15 @@
 constexpr milliseconds rewrite_interval{500};
 // A call has failed within this time: removals may be due to the outage.
 constexpr milliseconds recent_outage{4000};
-constexpr std::size_t max_record_bytes = 4096;
 
 }  // namespace
 
 store_link::store_link(options values, const protocol& protocol)
-    : m_options(std::move(values)), m_protocol(protocol), m_own_prefix(protocol.own_prefix())
+    : m_options(std::move(values)), m_protocol(protocol), m_own(protocol.own_prefix(), m_options.node)
 {
     m_feeds[0].prefix = protocol.configuration_key();
     m_feeds[1].prefix = protocol.workers_prefix();
-    m_feeds[2].prefix = m_own_prefix;
-}
-
-std::string store_link::record_value() const
-{
-    return json::value{{"address", m_options.address.value()}, {"data_centre", m_options.data_centre.value()}}
-        .dump();
+    m_feeds[2].prefix = m_own.prefix();
 }
 
 std::vector<store_call> store_link::due(time_point now)
@@ -82,27 +73,40 @@
             return;
         }
         last = now;
-        calls.push_back({purpose::write, 0, key, m_protocol.write_item({key, record_value(), *m_lease, 0})});
+        calls.push_back({purpose::write, 0, key,
+                         m_protocol.write_item(
+                             {key, m_own.value(m_options.address, m_options.data_centre), *m_lease, 0})});
     };
     if (!m_recorded && !m_record_pending) {
         m_record_pending = true;
-        m_rewritten[instance_key()] = now;
-        calls.push_back({purpose::write, 0, instance_key(),
-                         m_protocol.write_item({instance_key(), record_value(), *m_lease, std::nullopt})});
+        m_rewritten[m_own.instance_key()] = now;
+        calls.push_back({purpose::write, 0, m_own.instance_key(),
+                         m_protocol.write_item({m_own.instance_key(),
+                                                m_own.value(m_options.address, m_options.data_centre),
+                                                *m_lease, std::nullopt})});
     } else if (m_recorded) {
-        rewrite(instance_key());
+        rewrite(m_own.instance_key());
     }
     for (const routing::pool_id& pool : m_held) {
-        rewrite(pool_key(pool));
+        rewrite(m_own.pool_key(pool));
     }
     return calls;
 }
 
-store_call store_link::claim(const routing::pool_id& pool, std::uint64_t expected_revision)
+store_call store_link::claim(const routing::pool_id& pool, std::uint64_t expected_revision) const
 {
-    const std::string key = pool_key(pool);
+    const std::string key = m_own.pool_key(pool);
     return {store_call::purpose::claim, 0, pool.value(),
-            m_protocol.write_item({key, record_value(), m_lease.value_or(0), expected_revision})};
+            m_protocol.write_item({key, m_own.value(m_options.address, m_options.data_centre),
+                                   m_lease.value_or(0), expected_revision})};
+}
+
+store_call store_link::write_layout(const routing::layout_change& wanted) const
+{
+    const std::string key = m_own.layout_key(wanted.group);
+    // Without a lease: the division must outlive every instance that knows of it.
+    return {store_call::purpose::layout, 0, key,
+            m_protocol.write_item({key, m_own.value(wanted.pools), 0, wanted.expected_revision})};
 }
 
 std::optional<store_call> store_link::leave()
@@ -141,7 +145,7 @@
             m_lease = answer.lease;
             m_recorded = false;
         }
-    } else if (call.kind == purpose::write && call.key == instance_key()) {
+    } else if (call.kind == purpose::write && call.key == m_own.instance_key()) {
         m_record_pending = false;
         m_recorded = m_recorded || answer.status == store_status::done;
     }
@@ -204,7 +208,7 @@
         if (key.starts_with(m_protocol.workers_prefix())) {
             m_vanished.try_emplace(key, now);
         } else {
-            m_items.erase(key);
+            drop(key);
             mark(key);
         }
     }
@@ -272,6 +276,7 @@
     } else {
         m_vanished.erase(item.key);
         m_items.insert_or_assign(item.key, item);
+        m_own.apply(item);
     }
     mark(item.key);
 }
@@ -287,11 +292,14 @@
         m_lapsed = entry && entry.value().draining ? m_lapsed : m_now;
     }
     m_items.erase(known);
+    m_own.forget(key);
 }
 
 void store_link::mark(const std::string& key)
 {
-    (key.starts_with(m_own_prefix) ? m_changes.own : m_changes.workers) = true;
+    m_changes.workers = m_changes.workers || key.starts_with(m_protocol.workers_prefix());
+    m_changes.instances = m_changes.instances || m_own.is_instance(key);
+    m_changes.layout = m_changes.layout || m_own.is_layout(key);
 }
 
 void store_link::on_relay(time_point now, const workers::directory_push& push)
@@ -337,40 +345,6 @@
     return found;
 }
 
-std::vector<endpoint> store_link::instances() const
-{
-    std::vector<endpoint> found;
-    const std::string prefix = m_own_prefix + "instances/";
-    for (const auto& [key, item] : m_items) {
-        if (!key.starts_with(prefix)) {
-            continue;
-        }
-        const auto value = json::parse(item.value, key, {max_record_bytes});
-        if (value && value.value().is_object() && value.value().contains("address")) {
-            found.emplace_back(value.value()["address"].get<std::string>());
-        }
-    }
-    return found;
-}
-
-std::map<routing::pool_id, routing::pool_record> store_link::pool_records() const
-{
-    std::map<routing::pool_id, routing::pool_record> found;
-    const std::string prefix = m_own_prefix + "pools/";
-    for (const auto& [key, item] : m_items) {
-        if (!key.starts_with(prefix)) {
-            continue;
-        }
-        const auto value = json::parse(item.value, key, {max_record_bytes});
-        if (value && value.value().is_object() && value.value().contains("address")) {
-            found.emplace(
-                routing::pool_id(key.substr(prefix.size())),
-                routing::pool_record{endpoint(value.value()["address"].get<std::string>()), item.revision});
-        }
-    }
-    return found;
-}
-
 bool store_link::reachable(time_point now) const
 {
     return m_answered != time_point{} && now < m_answered + away_after;
--- a/source/instance/store_link.h
+++ b/source/instance/store_link.h
@@ -7,17 +7,18 @@
 #include <string>
 #include <vector>
 
+#include "instance/own_records.h"
 #include "instance/protocol.h"
 
 namespace poplarshed::instance {
 
 /// Call of the store link. `kind` tells the link what an answer belongs to.
 struct store_call {
-    enum class purpose { list, watch, grant, renew, write, claim, end };
+    enum class purpose { list, watch, grant, renew, write, claim, layout, end };
 
     purpose kind = purpose::list;
     std::size_t feed = 0;  ///< of list and watch
-    std::string key;       ///< of write and claim
+    std::string key;       ///< of write, claim and layout
     http::request request;
 };
 
@@ -34,7 +35,8 @@
     struct change {
         bool configuration = false;
         bool workers = false;
-        bool own = false;
+        bool instances = false;
+        bool layout = false;
     };
 
     store_link(options values, const protocol& protocol);
@@ -42,7 +44,9 @@
     /// Calls that are due.
     std::vector<store_call> due(time_point now);
     /// Call that writes this instance's name to a pool's record.
-    store_call claim(const routing::pool_id& pool, std::uint64_t expected_revision);
+    store_call claim(const routing::pool_id& pool, std::uint64_t expected_revision) const;
+    /// Call that writes into how many pools a group of workers is divided.
+    store_call write_layout(const routing::layout_change& wanted) const;
     /// Call that ends the lease, so that all records of this instance go at once.
     std::optional<store_call> leave();
     /// @returns the answer to a write or claim; `failed` for the other calls
@@ -57,8 +61,9 @@
     /// Values of the worker entries. An entry that vanished while the store was away stays for a short time.
     std::vector<store_item> worker_items() const;
     /// Addresses of the instances with a record.
-    std::vector<endpoint> instances() const;
-    std::map<routing::pool_id, routing::pool_record> pool_records() const;
+    std::vector<endpoint> instances() const { return m_own.instances(); }
+    const std::map<routing::pool_id, routing::pool_record>& pool_records() const { return m_own.pools(); }
+    const routing::pool_layout& layout() const { return m_own.layout(); }
     /// The store answers, and every watch is in place.
     bool current(time_point now) const;
     bool reachable(time_point now) const;
@@ -102,16 +107,10 @@
     void drop(const std::string& key);
     void mark(const std::string& key);
     void forget_vanished(time_point now);
-    std::string instance_key() const { return m_own_prefix + "instances/" + m_options.node; }
-    std::string pool_key(const routing::pool_id& pool) const
-    {
-        return m_own_prefix + "pools/" + pool.value();
-    }
-    std::string record_value() const;
 
     options m_options;
     const protocol& m_protocol;
-    std::string m_own_prefix;
+    own_records m_own;
     std::array<feed, feed_count> m_feeds;
     std::map<std::string, store_item> m_items;
     std::map<std::string, time_point> m_vanished;  ///< worker entries that a new list lacks
--- /dev/null
+++ b/source/routing/layout.cpp
@@ -0,0 +1,73 @@
+#include "routing/layout.h"
+
+namespace poplarshed::routing {
+
+namespace {
+
+// An instance with a tenth of a core starts the tasks of about this many workers at the peak.
+constexpr std::size_t workers_per_pool = 40;
+// Up to this size the number of pools stays as it is.
+constexpr std::size_t most_workers_per_pool = workers_per_pool * 2;
+
+std::uint64_t score(const std::string& worker, std::size_t pool)
+{
+    return digest::of(worker + '#' + std::to_string(pool)).prefix();
+}
+
+// Rendezvous hashing: the pool depends on nothing but the worker and the number of pools.
+std::size_t pool_of(const std::string& worker, std::size_t pools)
+{
+    std::size_t chosen = 0;
+    for (std::size_t i = 1; i < pools; ++i) {
+        if (score(worker, i) > score(worker, chosen)) {
+            chosen = i;
+        }
+    }
+    return chosen;
+}
+
+pool_id name_of(const worker_group& group, std::size_t pools, std::size_t index)
+{
+    return pool_id(group.data_centre.value() + '/' + group.service.value() + '/' + std::to_string(pools) +
+                   '.' + std::to_string(index));
+}
+
+}  // namespace
+
+std::vector<layout_change> layout_changes(const std::vector<workers::worker_entry>& entries,
+                                          const pool_layout& layout)
+{
+    std::map<worker_group, std::size_t> counts;
+    for (const workers::worker_entry& entry : entries) {
+        ++counts[{entry.data_centre, entry.service}];
+    }
+    std::vector<layout_change> changes;
+    for (const auto& [group, workers] : counts) {
+        const std::size_t wanted = (workers + workers_per_pool - 1) / workers_per_pool;
+        const auto known = layout.find(group);
+        if (known == layout.end()) {
+            changes.push_back({group, wanted, 0});
+            continue;
+        }
+        if (workers > known->second.pools * most_workers_per_pool) {
+            changes.push_back({group, wanted, known->second.revision});
+        }
+    }
+    return changes;
+}
+
+pool_map divide(const std::vector<workers::worker_entry>& entries, const pool_layout& layout)
+{
+    pool_map pools;
+    for (const workers::worker_entry& entry : entries) {
+        const worker_group group{entry.data_centre, entry.service};
+        const auto known = layout.find(group);
+        if (known != layout.end()) {
+            const std::size_t count = known->second.pools;
+            pools[name_of(group, count, pool_of(entry.id.value(), count))].push_back(entry);
+        }
+    }
+    return pools;
+}
+
+}  // namespace poplarshed::routing
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -1,5 +1,7 @@
 #include "routing/peers.h"
 
+#include <algorithm>
+
 namespace poplarshed::routing {
 
 peer_table::peer_table(endpoint self, data_centre_id data_centre)
@@ -74,6 +76,15 @@
     return heard * 2 >= others;
 }
 
+bool peer_table::is_first(time_point now,
+                          const std::function<bool(const workers::instance_status&)>& condition) const
+{
+    const auto others = live(now);
+    return std::none_of(others.begin(), others.end(), [&](const workers::instance_status* other) {
+        return other->address < m_self && condition(*other);
+    });
+}
+
 const workers::pool_load* peer_table::holder(time_point now, const pool_id& pool, endpoint& address) const
 {
     const workers::pool_load* best = nullptr;
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -40,6 +40,9 @@
     std::vector<const workers::instance_status*> live(time_point now) const;
     /// True if at least half of the other instances that should be there are heard.
     bool hears_most(time_point now) const;
+    /// True if no live instance that meets a condition has a lower address than this one.
+    bool is_first(time_point now,
+                  const std::function<bool(const workers::instance_status&)>& condition) const;
     /// The live instance that holds a pool with the highest token, and its load. Leaving holders come last.
     const workers::pool_load* holder(time_point now, const pool_id& pool, endpoint& address) const;
     /// Calls back for the best holder of each pool of a service.
--- a/source/routing/routing.h
+++ b/source/routing/routing.h
@@ -2,6 +2,7 @@
 
 /// Public header of the routing library: which instance holds which pool, and which pool gets a job. No I/O.
 
+#include "routing/layout.h"
 #include "routing/ownership.h"
 #include "routing/peers.h"
 #include "routing/router.h"
--- a/source/routing/types.h
+++ b/source/routing/types.h
@@ -47,10 +47,6 @@
 /// Workers by pool. A pool is a share of a service's workers in one data centre.
 using pool_map = std::map<pool_id, std::vector<workers::worker_entry>>;
 
-/// Divides workers into pools. A worker moves between pools only if the number of pools of its data centre
-/// changes.
-pool_map divide(const std::vector<workers::worker_entry>& entries);
-
 /// Data centre of a pool's workers.
 data_centre_id data_centre_of(const pool_id& pool);
 
--- a/tests/instance/settings_test.cpp
+++ b/tests/instance/settings_test.cpp
@@ -33,6 +33,18 @@
     BOOST_TEST(values.value().cpu_milli == 250);
     BOOST_TEST(values.value().seeds.size() == 1U);
     BOOST_TEST(values.value().grace.count() == 6000);
+    BOOST_TEST(values.value().peers.value() == "127.0.0.1:2");
+}
+
+// Guards against an instance that names the address behind a relay to its peers.
+BOOST_AUTO_TEST_CASE(peers_may_use_another_address)
+{
+    std::string relayed = valid;
+    relayed.replace(relayed.find("\"key\""), 5, R"("advertise": "127.0.0.1:9", "key")");
+    const auto values = parse_settings(relayed, "file");
+    BOOST_REQUIRE(values.has_value());
+    BOOST_TEST(values.value().peers.value() == "127.0.0.1:9");
+    BOOST_TEST(values.value().peers_listen.value() == "127.0.0.1:2");
 }
 
 // Guards against a daemon that starts with settings that it does not understand.
--- a/tests/integration/harness/process.cpp
+++ b/tests/integration/harness/process.cpp
@@ -15,6 +15,13 @@
 namespace {
 
 constexpr milliseconds poll_interval{5};
+// Part of an output that a message quotes.
+constexpr std::size_t quoted_bytes = 1500;
+
+std::string tail(const std::string& text)
+{
+    return text.size() <= quoted_bytes ? text : text.substr(text.size() - quoted_bytes);
+}
 
 }  // namespace
 
@@ -121,6 +128,14 @@
     return m_child->child.running(failed) && !failed;
 }
 
+std::string child_process::describe()
+{
+    const std::string state =
+        running() ? "runs" : "ended with code " + std::to_string(m_child->child.exit_code());
+    return m_output.filename().string() + ' ' + state + ": " + tail(read_output(".err")) +
+           tail(read_output(".out"));
+}
+
 std::optional<int> child_process::wait_for_exit(milliseconds limit)
 {
     if (!eventually([this] { return !running(); }, limit)) {
--- /dev/null
+++ b/tests/routing/layout_test.cpp
@@ -0,0 +1,91 @@
+#include <boost/test/unit_test.hpp>
+
+#include "routing_fixture.h"
+
+namespace poplarshed::routing::test {
+
+namespace {
+
+const worker_group ollur_desk{data_centre_id("ollur"), service_id("desk")};
+
+std::vector<workers::worker_entry> entries(std::size_t count)
+{
+    std::vector<workers::worker_entry> found;
+    for (std::size_t i = 0; i < count; ++i) {
+        workers::worker_entry entry;
+        entry.id = workers::worker_id("w" + std::to_string(i));
+        entry.service = ollur_desk.service;
+        entry.data_centre = ollur_desk.data_centre;
+        found.push_back(entry);
+    }
+    return found;
+}
+
+std::map<workers::worker_id, pool_id> pool_of_each(const pool_map& pools)
+{
+    std::map<workers::worker_id, pool_id> found;
+    for (const auto& [pool, members] : pools) {
+        for (const workers::worker_entry& entry : members) {
+            found.emplace(entry.id, pool);
+        }
+    }
+    return found;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(layout_of_pools)
+
+BOOST_AUTO_TEST_SUITE(when_the_store_has_no_number)
+
+// Guards against instances that divide workers by different numbers.
+BOOST_AUTO_TEST_CASE(there_are_no_pools_and_a_number_is_proposed)
+{
+    BOOST_TEST(divide(entries(117), {}).empty());
+    const auto changes = layout_changes(entries(117), {});
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST((changes[0] == layout_change{ollur_desk, 3, 0}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_workers_come_and_go)
+
+// Load pattern: a third more workers within seconds, while others leave. Guards against workers that change
+// their pool while tasks run there: 117 workers had three pools, and 121 had four.
+BOOST_AUTO_TEST_CASE(no_worker_moves)
+{
+    const pool_layout layout{{ollur_desk, {3, 9}}};
+    const auto before = pool_of_each(divide(entries(117), layout));
+    const auto after = pool_of_each(divide(entries(160), layout));
+    for (const auto& [worker, pool] : before) {
+        BOOST_TEST((after.at(worker) == pool));
+    }
+    BOOST_TEST(layout_changes(entries(160), layout).empty());
+    BOOST_TEST(layout_changes(entries(3), layout).empty());
+}
+
+// Guards against pools that outgrow their holder.
+BOOST_AUTO_TEST_CASE(the_number_grows_when_a_pool_has_doubled)
+{
+    const pool_layout layout{{ollur_desk, {3, 9}}};
+    const auto changes = layout_changes(entries(241), layout);
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST((changes[0] == layout_change{ollur_desk, 7, 9}));
+}
+
+// Guards against one name for pools with different workers.
+BOOST_AUTO_TEST_CASE(pools_of_another_number_have_other_names)
+{
+    const pool_map three = divide(entries(117), {{ollur_desk, {3, 9}}});
+    for (const auto& [pool, members] : divide(entries(117), {{ollur_desk, {7, 12}}})) {
+        BOOST_TEST(!three.contains(pool));
+        BOOST_TEST((data_centre_of(pool) == ollur_desk.data_centre));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::routing::test
--- a/tests/stand_ins/relay.cpp
+++ b/tests/stand_ins/relay.cpp
@@ -9,7 +9,7 @@
     : m_io(io), m_client(std::move(client)), m_target(io), m_faults(faults), m_pump_done(io)
 {}
 
-net::awaitable<bool> relay_connection::run(self_pointer self, tcp::endpoint target)
+net::awaitable<bool> relay_connection::run(self_pointer self, tcp::endpoint target, std::string first)
 {
     co_await self->wait_while_held(self->m_faults.to_target);
     boost::system::error_code failed;
@@ -20,6 +20,8 @@
     }
     self->m_client.set_option(tcp::no_delay(true), failed);
     self->m_target.set_option(tcp::no_delay(true), failed);
+    co_await net::async_write(self->m_target, net::buffer(first),
+                              net::redirect_error(net::use_awaitable, failed));
     self->m_pumps = 2;
     net::co_spawn(self->m_io, pump(self, self->m_client, self->m_target, self->m_faults.to_target),
                   net::detached);
--- a/tests/stand_ins/relay.h
+++ b/tests/stand_ins/relay.h
@@ -36,8 +36,10 @@
     relay_connection(net::io_context& io, tcp::socket client, route_faults& faults);
 
     /// Connects to the target and passes bytes both ways until both sides have closed.
+    /// @param first bytes that were read from the client before
     /// @returns false if the target refused the connection; the client is still open then
-    static net::awaitable<bool> run(std::shared_ptr<relay_connection> self, tcp::endpoint target);
+    static net::awaitable<bool> run(std::shared_ptr<relay_connection> self, tcp::endpoint target,
+                                    std::string first = {});
     void close();
     /// Closes the connection if a cut has lost bytes of it.
     void close_if_damaged();
--- a/tests/users_platform/end_to_end_test.cpp
+++ b/tests/users_platform/end_to_end_test.cpp
@@ -4,6 +4,7 @@
 #include <future>
 
 #include "integration/harness/http.h"
+#include "integration/harness/reserved_port.h"
 #include "stand_ins/users_platform.h"
 
 namespace poplarshed::users_platform::test {
@@ -16,19 +17,6 @@
 
 constexpr milliseconds grace{3000};
 
-std::uint16_t free_port()
-{
-    stand_ins::net::io_context io;
-    return stand_ins::tcp::acceptor(io, {stand_ins::net::ip::address_v4::loopback(), 0})
-        .local_endpoint()
-        .port();
-}
-
-std::string local(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 json configuration(std::uint64_t version, const std::string& prefix)
 {
     return {{"version", version},
@@ -54,22 +42,21 @@
         start(0);
         start(1);
         for (std::size_t i = 0; i < 2; ++i) {
-            integration::require_eventually("instance is ready", [&] { return ready(i); });
+            if (!integration::eventually([&] { return ready(i); })) {
+                throw std::runtime_error("not ready: " + process(i).describe());
+            }
         }
     }
 
     void start(std::size_t index)
     {
         instance& one = m_instances.at(index);
-        if (one.callers == 0) {
-            one = {free_port(), free_port(), free_port(), {}};
-        }
         const auto file = m_folder.path() / ("instance-" + std::to_string(index) + ".json");
         const json settings = {
             {"instance", {{"name", "front-" + std::to_string(index)}, {"data_centre", "ollur"}}},
-            {"callers", {{"listen", local(one.callers)}}},
-            {"readiness", {{"listen", local(one.readiness)}}},
-            {"peers", {{"listen", local(one.peers)}, {"key", "test"}}},
+            {"callers", {{"listen", one.callers.address()}}},
+            {"readiness", {{"listen", one.readiness.address()}}},
+            {"peers", {{"listen", one.peers.address()}, {"key", "test"}}},
             {"store", {{"address", m_platform.store_address()}}},
             {"drain", {{"grace_ms", grace.count()}}}};
         std::ofstream(file) << settings.dump();
@@ -80,7 +67,7 @@
 
     bool ready(std::size_t index)
     {
-        return integration::call(local(m_instances.at(index).readiness), "/readyz").status == 200;
+        return integration::call(m_instances.at(index).readiness.address(), "/readyz").status == 200;
     }
 
     http_result submit(std::size_t index, const std::string& id, int work_ms, std::uint32_t tasks,
@@ -97,7 +84,7 @@
                            {"Content-Type", "application/json"},
                            {"Poplarshed-Timeout-Ms", std::to_string(timeout.count())}};
         options.timeout = timeout;
-        return integration::call(local(m_instances.at(index).callers), prefix + id, options);
+        return integration::call(m_instances.at(index).callers.address(), prefix + id, options);
     }
 
     integration::child_process& process(std::size_t index) { return *m_instances.at(index).process; }
@@ -105,9 +92,9 @@
 
 private:
     struct instance {
-        std::uint16_t callers = 0;
-        std::uint16_t readiness = 0;
-        std::uint16_t peers = 0;
+        integration::reserved_port callers;
+        integration::reserved_port readiness;
+        integration::reserved_port peers;
         std::unique_ptr<integration::child_process> process;
     };
 
