--- a/source/entry/main.cpp
+++ b/source/entry/main.cpp
@@ -125,8 +125,13 @@
         return exit_code::failed;
     }
     const entry::daemon_addresses& addresses = daemon.value()->addresses();
-    std::cout << R"({"ready":"poplarshed-entry","http":")" << addresses.http.value() << R"(","inner":")"
-              << addresses.inner.value() << "\"}" << std::endl;
+    // One insertion: log lines go to the same stream from another thread.
+    std::cout << std::string(R"({"ready":"poplarshed-entry","http":")")
+                     .append(addresses.http.value())
+                     .append(R"(","inner":")")
+                     .append(addresses.inner.value())
+                     .append("\"}\n")
+              << std::flush;
     const std::jthread signal_thread(
         [&](const std::stop_token& stop) { forward_signals(daemon.value()->inbox(), signals, stop); });
     return daemon.value()->run() == 0 ? exit_code::ok : exit_code::failed;
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -65,7 +65,7 @@
         return;
     }
     m_ownership.on_claimed(pool, *revision);
-    take(now, pool, workers::fencing_token(*revision));
+    take(now, pool, routing::token_of(*revision));
 }
 
 void pool_host::take(time_point now, const routing::pool_id& pool, workers::fencing_token token)
--- a/source/routing/ownership.cpp
+++ b/source/routing/ownership.cpp
@@ -13,6 +13,17 @@
 // Fallback where the store is away: the record cannot be changed, so the holder must be silent for longer.
 constexpr milliseconds storeless_delay{800};
 
+// A token is the revision of the record, followed by bits that are 0 where the store gave it. Without the
+// store they come from the address of the instance, so that two instances that take a pool at the same time,
+// and cannot hear each other, have different tokens.
+constexpr unsigned storeless_bits = 16;
+constexpr std::uint64_t storeless_mask = (std::uint64_t{1} << storeless_bits) - 1;
+
+std::uint64_t storeless_part(const endpoint& address)
+{
+    return std::max<std::uint64_t>(1, digest::of(address.value()).prefix() & storeless_mask);
+}
+
 /// Rank of an instance as the holder of a pool; the highest takes it.
 struct preference {
     std::int64_t cpu_for_each_pool = 0;
@@ -31,6 +42,11 @@
 
 }  // namespace
 
+workers::fencing_token token_of(std::uint64_t revision)
+{
+    return workers::fencing_token(revision << storeless_bits);
+}
+
 std::vector<ownership_action> ownership::decide(time_point now, const ownership_view& view)
 {
     std::vector<ownership_action> actions;
@@ -75,12 +91,13 @@
     }
     endpoint best;
     const workers::pool_load* load = view.peers.holder(now, pool, best);
-    if (load != nullptr && best != view.peers.self() && m_held.at(pool) < load->token) {
+    // Of two holders with one token the table names the one with the lower address.
+    if (load != nullptr && best != view.peers.self() && !(load->token < m_held.at(pool))) {
         return true;
     }
     const auto record = view.records.find(pool);
     return record != view.records.end() && record->second.holder != view.peers.self() &&
-           m_held.at(pool).value() < record->second.revision &&
+           m_held.at(pool) < token_of(record->second.revision) &&
            view.peers.is_live(now, record->second.holder);
 }
 
@@ -125,23 +142,26 @@
 
 workers::fencing_token ownership::next_token(const ownership_view& view, const pool_id& pool) const
 {
-    std::uint64_t highest = 0;
+    workers::fencing_token highest;
     const auto record = view.records.find(pool);
     if (record != view.records.end()) {
-        highest = record->second.revision;
+        highest = token_of(record->second.revision);
     }
     for (const auto& [address, item] : view.peers.all()) {
         for (const workers::pool_load& load : item.status.pools) {
-            highest = load.pool == pool ? std::max(highest, load.token.value()) : highest;
+            highest = load.pool == pool ? std::max(highest, load.token) : highest;
         }
     }
-    return workers::fencing_token(highest + 1);
+    const std::uint64_t own = storeless_part(view.peers.self());
+    const std::uint64_t revision = highest.value() >> storeless_bits;
+    const bool passed = own <= (highest.value() & storeless_mask);
+    return workers::fencing_token(token_of(revision + (passed ? 1 : 0)).value() + own);
 }
 
 void ownership::on_claimed(const pool_id& pool, std::uint64_t revision)
 {
     m_claiming.erase(pool);
-    m_held.insert_or_assign(pool, workers::fencing_token(revision));
+    m_held.insert_or_assign(pool, token_of(revision));
 }
 
 void ownership::on_claim_failed(const pool_id& pool)
--- a/source/routing/ownership.h
+++ b/source/routing/ownership.h
@@ -33,6 +33,9 @@
     pool_id pool;
 };
 
+/// Token of a pool whose record was written at a revision of the store. Grows with each change of holder.
+workers::fencing_token token_of(std::uint64_t revision);
+
 using ownership_action = std::variant<claim_pool, hold_pool, drop_pool>;
 
 /// What decides about the ownership of pools.
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -17,7 +17,8 @@
 constexpr milliseconds stop_retry{200};
 // An unhealthy worker gets no start for this time.
 constexpr milliseconds unhealthy_pause{200};
-constexpr milliseconds no_room_pause{20};
+// Something unknown runs on a worker without room; a list order that is sent at once tells what it is.
+constexpr milliseconds no_room_pause{60};
 // A worker that fails tasks of this many jobs in a row is ejected. Tasks fail by their own fault in 0.2% of
 // runs.
 constexpr unsigned failures_to_eject = 3;
@@ -133,6 +134,9 @@
     }
     if (reply.outcome == start_outcome::no_room) {
         on.no_start_until = now + no_room_pause;
+        if (!on.list_pending) {
+            send_list(now, on);
+        }
     } else if (reply.outcome != start_outcome::superseded && reply.outcome != start_outcome::expired) {
         on.no_start_until = now + unhealthy_pause;
     }
--- a/tests/integration/harness/process.h
+++ b/tests/integration/harness/process.h
@@ -47,7 +47,8 @@
     child_process& operator=(const child_process&) = delete;
     ~child_process();
 
-    /// First line of standard output. Throws std::runtime_error with the error output if it does not come.
+    /// First line of standard output that is no log line. Throws std::runtime_error with the error output if
+    /// it does not come.
     json ready();
     void signal(int number);
     /// Kills the process and waits for its end.
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -28,10 +29,13 @@
         process = subprocess.Popen(
             [str(self.bin / program), *map(str, arguments)], stdout=subprocess.PIPE, text=True)
         self.processes.append(process)
-        line = process.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{program} did not start; exit code {process.wait()}")
-        return json.loads(line)
+        for line in process.stdout:
+            value = json.loads(line)
+            if "level" not in value:  # a log line has one
+                # Keeps the pipe empty, so that the process never waits for its log to be read.
+                threading.Thread(target=process.stdout.read, daemon=True).start()
+                return value
+        raise RuntimeError(f"{program} did not start; exit code {process.wait()}")
 
     def write(self, name, content):
         path = pathlib.Path(self.folder.name) / name
