--- a/source/common/clock.cpp
+++ b/source/common/clock.cpp
@@ -4,6 +4,20 @@
 
 namespace poplarshed {
 
+milliseconds time_since_boot()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::duration_cast<milliseconds>(seconds(now.tv_sec) +
+                                                    std::chrono::nanoseconds(now.tv_nsec));
+}
+
+std::uint64_t wall_microseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(now).count());
+}
+
 timer_service::subscription timer_service::add(entry item)
 {
     const std::uint64_t id = ++m_last;
--- a/source/common/clock.h
+++ b/source/common/clock.h
@@ -15,6 +15,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Time since the machine was started, suspended time included.
+milliseconds time_since_boot();
+
+/// Time of day, for numbers that must grow from one life of a process to the next.
+std::uint64_t wall_microseconds();
+
 /// Calls subscribers when their time has come. The owner passes the time in, so that tests need no sleeping.
 /// Not thread-safe; every call belongs to the thread that calls run().
 class timer_service {
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -7,9 +7,13 @@
 
 namespace {
 
-constexpr std::size_t inbox_capacity = 65'536;
+// Some 100 ms of the busiest instance's events; a full ring of larger size would stay resident.
+constexpr std::size_t inbox_capacity = 4096;
 constexpr milliseconds tick_interval{20};
 constexpr milliseconds ownership_interval{50};
+constexpr milliseconds status_check_interval{30};
+// After such a pause peers take this instance for gone.
+constexpr milliseconds pause_limit = routing::status_interval + routing::tolerated_silence;
 // Time between the last answer and the end of the process, for bytes that are still on their way.
 constexpr milliseconds farewell{150};
 constexpr std::size_t connections_per_host = 24;
@@ -57,7 +61,8 @@
       m_protocol(surroundings),
       m_inbox(inbox_capacity),
       m_log({severity::info, "", m_settings.name, m_settings.data_centre.value()}, m_settings.log_decisions),
-      m_store({m_settings.name, m_settings.peers, m_settings.data_centre}, surroundings),
+      m_directory(surroundings, m_settings.name, wall_microseconds()),
+      m_store({m_settings.peers, m_settings.data_centre}, surroundings, m_directory),
       m_peers(m_settings.peers, m_settings.data_centre),
       m_router({}, m_peers, steady_clock::now()),
       m_pools(pool_options_of(m_settings), *this, steady_clock::now()),
@@ -93,7 +98,7 @@
     }
     const time_point now = steady_clock::now();
     m_timers.every(tick_interval, now, [this](time_point at) { tick(at); });
-    m_timers.every(routing::status_interval, now, [this](time_point at) { send_status(at); });
+    m_timers.every(status_check_interval, now, [this](time_point at) { send_statuses(at); });
     m_timers.every(ownership_interval, now, [this](time_point at) { decide_ownership(at); });
     m_log.event({severity::info,
                  telemetry::category::process,
@@ -109,6 +114,7 @@
     while (true) {
         m_inbox.drain_until(m_timers.next(), batch);
         const time_point now = steady_clock::now();
+        check_for_pause(now);
         for (core_event& event : batch) {
             std::visit([this, now](auto& item) { handle(now, item); }, event);
         }
@@ -121,6 +127,23 @@
     m_log.event({severity::info, telemetry::category::process, "stopped", {}, {}});
 }
 
+// Load pattern: a machine that stands still for seconds and goes on. Steady time may not count the pause.
+void daemon::check_for_pause(time_point now)
+{
+    const milliseconds turn = time_since_boot();
+    const milliseconds last = std::exchange(m_last_turn, turn);
+    if (last.count() == 0 || turn - last < pause_limit) {
+        return;
+    }
+    m_log.event({severity::warning,
+                 telemetry::category::process,
+                 "process was paused",
+                 {},
+                 {{"gap_ms", (turn - last).count()}, {"limit_ms", pause_limit.count()}}});
+    m_pools.on_pause(now);
+    m_router.on_pause(now);
+}
+
 bool daemon::drained(time_point now) const
 {
     if (now >= m_leave_until) {
@@ -140,7 +163,7 @@
     propose_layout(now);
     const bool reachable = m_store.reachable(now) && m_store.lease().has_value();
     for (const routing::claim_pool& claim :
-         m_pools.decide(now, {m_peers, m_store.pool_records(), reachable, m_leaving})) {
+         m_pools.decide(now, {m_peers, m_directory.own().pools(), reachable, m_leaving})) {
         call_store(m_store.claim(claim.pool, claim.expected_revision));
     }
     m_store.set_held(m_pools.held());
@@ -167,6 +190,9 @@
 void daemon::execute(time_point now, routing::routing_action& action)
 {
     if (auto* out = std::get_if<routing::to_holder>(&action)) {
+        if (std::holds_alternative<workers::job_offer>(out->message)) {
+            relate(now, out->holder);
+        }
         std::visit([&](auto& message) { send(now, out->holder, std::move(message)); }, out->message);
     } else if (const auto* reply = std::get_if<routing::answer_caller>(&action)) {
         answer(*reply);
@@ -190,7 +216,7 @@
     }
     update_directory(now);
     follow_store_state(now);
-    ask_for_directory(now);
+    follow_directory(now);
     m_router.on_tick(now);
     m_pools.on_tick(now);
     const bool ready = m_configured && !m_leaving && has_pool(now);
@@ -231,7 +257,7 @@
                  {},
                  {{"jobs", static_cast<std::int64_t>(m_router.job_count())},
                   {"pools", static_cast<std::int64_t>(m_pools.held().size())}}});
-    send_status(now);
+    announce(now);
 }
 
 void daemon::log(time_point now, const workers::decision_record& record, const routing::pool_id& pool)
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -55,7 +55,7 @@
 
     void send_order(pending_order order) override;
     void send_to_owner(time_point now, const endpoint& owner, workers::owner_message message) override;
-    void on_held_changed(time_point now) override { send_status(now); }
+    void on_held_changed(time_point now) override { announce(now); }
     void log(time_point now, const workers::decision_record& record, const routing::pool_id& pool) override;
     void log_hold(std::string_view event, const routing::pool_id& pool, std::string_view cause) override;
 
@@ -68,15 +68,24 @@
     void log(time_point now, const routing::routing_record& record);
 
     void tick(time_point now);
-    void send_status(time_point now);
+    void check_for_pause(time_point now);
+    /// Sends the statuses that are due.
+    void send_statuses(time_point now);
+    /// Sends a status to every peer at once, after a change that they must know.
+    void announce(time_point now);
+    /// Takes the own status into the table of peers, as the router and the pools use it.
+    void refresh_own_status(time_point now);
+    void send_status(time_point now, const routing::due_status& due);
+    void relate(time_point now, const endpoint& holder);
     void decide_ownership(time_point now);
     void update_directory(time_point now);
+    void follow_directory(time_point now);
+    bool directory_current(time_point now) const;
+    bool is_directory_source(time_point now) const { return m_store.watches(now); }
     void apply_configuration();
-    void divide_workers(time_point now);
     void update_network();
     void propose_layout(time_point now);
     void follow_store_state(time_point now);
-    void ask_for_directory(time_point now);
     bool has_pool(time_point now) const;
     bool drained(time_point now) const;
     workers::instance_status own_status(time_point now) const;
@@ -87,12 +96,13 @@
     telemetry::metrics m_metrics;
     decision_log m_log;
     timer_service m_timers;
+    directory m_directory;
     store_link m_store;
+    routing::directory_relay m_relay;
     routing::peer_table m_peers;
     routing::router m_router;
     routing::configuration m_configuration;
     bool m_configured = false;
-    std::vector<workers::worker_entry> m_workers;
     pool_host m_pools;
     std::unordered_map<http::call_id, pending_call> m_calls;
     std::uint64_t m_last_call = 0;
@@ -100,9 +110,14 @@
     bool m_store_was_reachable = false;
     bool m_ready = false;
     time_point m_leave_until;
+    endpoint m_followed;                    ///< source of the last changes that a peer passed on
+    std::uint64_t m_followed_sequence = 0;  ///< of that source
+    time_point m_confirmed;                 ///< when nothing of the followed source was missing
     time_point m_last_pull;
+    milliseconds m_last_turn{};  ///< of the loop, since boot; 0 before the first
     time_point m_next_proposal;
     std::vector<endpoint> m_network_targets;  ///< instances that get this one's status
+    routing::status_schedule m_schedule;
     caller_front m_front;
     std::unique_ptr<peer::network> m_network;
     http::client m_http;  ///< last: its thread ends before what its handler uses
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -12,7 +12,10 @@
 constexpr milliseconds list_extra_time{200};
 constexpr milliseconds store_timeout{700};
 constexpr milliseconds watch_extra_time{2200};
-constexpr milliseconds pull_interval{400};
+// An answer to a pull takes two hops; statuses tell of changes every 60 ms or more.
+constexpr milliseconds pull_interval{50};
+// The directory counts as current for this time after its source was heard without news; several statuses.
+constexpr milliseconds confirmation_time{1000};
 // A proposal is written and seen by its writer within a few milliseconds of the store.
 constexpr milliseconds proposal_interval{500};
 
@@ -111,27 +114,23 @@
 
 void daemon::update_directory(time_point now)
 {
-    const store_link::change changes = m_store.take_changes();
+    if (m_store.reachable(now) || directory_current(now)) {
+        m_directory.forget_vanished(now);
+    }
+    const directory::change changes = m_directory.take_changes();
     if (changes.configuration) {
         apply_configuration();
     }
-    if (changes.workers) {
-        m_workers.clear();
-        for (const store_item& item : m_store.worker_items()) {
-            auto entry = m_protocol.decode_worker(item.key, item.value);
-            if (entry) {
-                m_workers.push_back(std::move(entry).value());
-            } else {
-                m_log.decision(now, {severity::warning,
-                                     telemetry::category::membership,
-                                     "worker entry skipped",
-                                     {},
-                                     {{"key", item.key}, {"detail", entry.error().message}}});
-            }
-        }
+    for (const directory::skipped_entry& skipped : m_directory.take_skipped()) {
+        m_log.event({severity::warning,
+                     telemetry::category::membership,
+                     "worker entry skipped",
+                     {},
+                     {{"key", skipped.key}, {"detail", skipped.cause}}});
     }
+    m_pools.on_completeness(directory_current(now) && m_directory.complete(now));
     if (changes.workers || changes.layout) {
-        m_pools.on_directory(now, routing::divide(m_workers, m_store.layout()), m_store.complete(now));
+        m_pools.on_directory(now, routing::divide(m_directory.workers(), m_directory.own().layout()));
     }
     if (changes.instances) {
         update_network();
@@ -140,7 +139,7 @@
 
 void daemon::apply_configuration()
 {
-    auto decoded = m_protocol.decode_configuration(m_store.configuration_value());
+    auto decoded = m_protocol.decode_configuration(m_directory.configuration_value());
     if (!decoded) {
         m_log.event({severity::error,
                      telemetry::category::configuration,
@@ -165,7 +164,7 @@
 
 void daemon::update_network()
 {
-    std::vector<endpoint> known = m_store.instances();
+    std::vector<endpoint> known = m_directory.own().instances();
     std::erase(known, m_settings.peers);
     const auto add = [&known](const endpoint& address) {
         if (std::find(known.begin(), known.end(), address) == known.end()) {
@@ -187,11 +186,12 @@
 // One instance writes the record, so that they do not all call the store at once.
 void daemon::propose_layout(time_point now)
 {
-    if (now < m_next_proposal || m_leaving || !m_store.current(now) ||
-        !m_peers.is_first(now, [](const auto& status) { return status.directory_current; })) {
+    if (now < m_next_proposal || m_leaving || !is_directory_source(now) ||
+        !m_peers.is_first(now, [](const auto& status) { return status.directory_source; })) {
         return;
     }
-    for (const routing::layout_change& change : routing::layout_changes(m_workers, m_store.layout())) {
+    for (const routing::layout_change& change :
+         routing::layout_changes(m_directory.workers(), m_directory.own().layout())) {
         m_next_proposal = now + proposal_interval;
         call_store(m_store.write_layout(change));
     }
@@ -206,23 +206,31 @@
                      telemetry::category::platform,
                      reachable ? "store is reachable" : "store is not reachable",
                      {},
-                     {{"revision", static_cast<std::int64_t>(m_store.revision())}}});
+                     {{"revision", static_cast<std::int64_t>(m_directory.revision())}}});
         m_metrics.set(telemetry::platform_reachable, reachable ? 1 : 0);
     }
 }
 
-void daemon::ask_for_directory(time_point now)
+void daemon::follow_directory(time_point now)
 {
-    if (m_store.current(now) || now < m_last_pull + pull_interval) {
+    const auto decided = m_relay.decide(now, m_peers, m_store.watches(now));
+    m_store.set_watching(decided.watch);
+    if (!decided.upstream) {
         return;
     }
-    for (const workers::instance_status* peer : m_peers.live(now)) {
-        if (peer->directory_current && peer->store_revision > m_store.revision()) {
-            m_last_pull = now;
-            send(now, peer->address, workers::directory_pull{m_settings.peers, m_store.revision()});
-            return;
-        }
+    const workers::instance_status& source = m_peers.all().at(*decided.upstream).status;
+    const bool same = m_followed == source.address;
+    if (same && m_followed_sequence >= source.directory_sequence) {
+        m_confirmed = source.directory_current ? now : m_confirmed;
+    } else if (now >= m_last_pull + pull_interval) {
+        m_last_pull = now;
+        send(now, source.address, workers::directory_pull{m_settings.peers, same ? m_followed_sequence : 0});
     }
 }
 
+bool daemon::directory_current(time_point now) const
+{
+    return m_store.watches(now) || (m_confirmed != time_point{} && now < m_confirmed + confirmation_time);
+}
+
 }  // namespace poplarshed::instance
--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -74,20 +74,28 @@
 
 void daemon::receive(time_point now, workers::directory_pull& message)
 {
-    if (m_store.revision() > message.since && m_store.current(now)) {
-        send(now, message.from, m_store.relay());
+    if (directory_current(now)) {
+        workers::directory_push push = m_directory.changes_since(message.since);
+        push.source = m_settings.peers;
+        send(now, message.from, std::move(push));
     }
 }
 
 void daemon::receive(time_point now, workers::directory_push& message)
 {
-    m_log.event({severity::info,
-                 telemetry::category::membership,
-                 "took the directory from a peer",
-                 {},
-                 {{"revision", static_cast<std::int64_t>(message.revision)},
-                  {"own_revision", static_cast<std::int64_t>(m_store.revision())}}});
-    m_store.on_relay(now, message);
+    if (m_followed != message.source) {
+        m_log.event({severity::info,
+                     telemetry::category::membership,
+                     "directory comes from a peer",
+                     {},
+                     {{"peer", message.source.value()},
+                      {"revision", static_cast<std::int64_t>(message.revision)},
+                      {"own_revision", static_cast<std::int64_t>(m_directory.revision())}}});
+    }
+    m_followed = message.source;
+    m_followed_sequence = message.sequence;
+    m_directory.on_relay(now, message);
+    update_directory(now);
 }
 
 void daemon::send(time_point now, const endpoint& to, wire::message message)
@@ -112,24 +120,60 @@
     status.data_centre = m_settings.data_centre;
     status.cpu_milli = m_settings.cpu_milli;
     status.leaving = m_leaving;
-    status.directory_current = m_store.current(now);
+    status.directory_current = directory_current(now);
+    status.directory_source = is_directory_source(now);
     status.configuration_version = m_configuration.version;
-    status.store_revision = m_store.revision();
+    status.directory_sequence = m_directory.sequence();
     status.pools = m_pools.loads(now);
     return status;
 }
 
-void daemon::send_status(time_point now)
+void daemon::refresh_own_status(time_point now)
 {
     const workers::instance_status status = own_status(now);
     m_peers.on_status(now, status);
     m_router.on_status(status.address);
+    m_pools.on_other_pools(m_peers, now);
+}
+
+void daemon::send_statuses(time_point now)
+{
+    refresh_own_status(now);
+    std::set<endpoint> related;
+    m_router.add_holders(related);
+    m_pools.add_owners(related);
+    const bool speaks = !m_pools.held().empty() || is_directory_source(now);
+    for (const routing::due_status& due :
+         m_schedule.due(now, {m_peers, m_network_targets, related, speaks})) {
+        send_status(now, due);
+    }
+}
+
+void daemon::announce(time_point now)
+{
+    refresh_own_status(now);
     for (const endpoint& to : m_network_targets) {
         if (to != m_settings.peers) {
-            m_network->send(to, status);
+            send_status(now, {to, routing::related_interval});
         }
     }
-    m_pools.on_other_pools(m_peers, now);
+}
+
+void daemon::send_status(time_point now, const routing::due_status& due)
+{
+    workers::instance_status status = own_status(now);
+    status.next = due.interval;
+    m_schedule.on_sent(now, due);
+    m_network->send(due.to, std::move(status));
+}
+
+// A holder stops the jobs of an owner that it does not hear for the interval that the owner has promised
+// last, so the promise must be a short one before the first job.
+void daemon::relate(time_point now, const endpoint& holder)
+{
+    if (holder != m_settings.peers && !m_schedule.is_related(now, holder)) {
+        send_status(now, {holder, routing::related_interval});
+    }
 }
 
 }  // namespace poplarshed::instance
--- a/source/instance/decision_log.cpp
+++ b/source/instance/decision_log.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::size_t capacity = 8192;
+constexpr std::size_t capacity = 4096;
 // Kept free for events; decisions are dropped earlier.
-constexpr std::size_t reserve = 2048;
+constexpr std::size_t reserve = 1024;
 // A line costs about 10 us; this bounds the cost to 2% of a core.
 constexpr std::size_t decisions_per_second = 2000;
 constexpr milliseconds idle_wait{500};
--- /dev/null
+++ b/source/instance/directory.cpp
@@ -0,0 +1,230 @@
+#include "instance/directory.h"
+
+#include <algorithm>
+
+namespace poplarshed::instance {
+
+namespace {
+
+// Entries that lapsed during an outage of the store are back within two seconds of its return.
+constexpr milliseconds vanished_time{2300};
+// A call has failed within this time: removals may be due to the outage.
+constexpr milliseconds recent_outage{4000};
+constexpr milliseconds outage_memory{2500};
+// A worker that lapsed without draining may be cut off from the store and run on; cuts last some seconds.
+constexpr milliseconds lapse_memory{30'000};
+// Removals that are remembered for peers; beyond it they get all items.
+constexpr std::size_t max_removed = 4096;
+
+}  // namespace
+
+directory::directory(const protocol& protocol, const std::string& node, std::uint64_t first_sequence)
+    : m_protocol(protocol),
+      m_workers_prefix(protocol.workers_prefix()),
+      m_own(protocol.own_prefix(), node),
+      m_sequence(first_sequence),
+      m_first_sequence(first_sequence)
+{}
+
+void directory::on_list(time_point now, const std::string& prefix, const std::vector<store_item>& items)
+{
+    std::set<std::string> present;
+    for (const store_item& one : items) {
+        present.insert(one.key);
+        apply(now, one);
+    }
+    keep_only(now, prefix, present);
+}
+
+void directory::on_events(time_point now, const std::vector<store_item>& items)
+{
+    for (const store_item& one : items) {
+        apply(now, one);
+    }
+}
+
+void directory::on_relay(time_point now, const workers::directory_push& push)
+{
+    std::set<std::string> present;
+    for (const workers::directory_item& one : push.items) {
+        present.insert(one.key);
+        apply(now, {one.key, one.value, one.revision, one.value.empty()});
+    }
+    // A peer that knows less than this instance cannot tell what is gone.
+    if (push.complete && push.revision >= m_revision) {
+        keep_only(now, "", present);
+    }
+}
+
+void directory::apply(time_point now, const store_item& content)
+{
+    m_lapsed = m_lapsed == time_point{} ? now : m_lapsed;
+    m_revision = std::max(m_revision, content.revision);
+    if (content.key == m_protocol.configuration_key()) {
+        if (!content.removed && content.revision > m_configuration.revision) {
+            m_configuration = content;
+            m_configuration_changed = ++m_sequence;
+            m_changes.configuration = true;
+        }
+        return;
+    }
+    const auto known = m_items.find(content.key);
+    if (known != m_items.end() && known->second.content.revision > content.revision) {
+        return;
+    }
+    if (content.removed) {
+        remove(now, content);
+        return;
+    }
+    m_vanished.erase(content.key);
+    m_removed.erase(content.key);
+    const bool matters = !is_worker(content.key) || apply_worker(content);
+    item& kept = m_items[content.key];
+    kept.content = content;
+    if (matters) {
+        kept.changed = ++m_sequence;
+        m_own.apply(content);
+        mark(content.key);
+    }
+}
+
+bool directory::apply_worker(const store_item& content)
+{
+    auto decoded = m_protocol.decode_worker(content.key, content.value);
+    const auto known = m_workers.find(content.key);
+    if (!decoded) {
+        const bool is_new = !m_items.contains(content.key) || known != m_workers.end();
+        if (is_new) {
+            m_skipped.push_back({content.key, decoded.error().message});
+            m_workers.erase(content.key);
+        }
+        return is_new;
+    }
+    if (known != m_workers.end() && known->second == decoded.value()) {
+        return false;
+    }
+    m_workers.insert_or_assign(content.key, std::move(decoded).value());
+    return true;
+}
+
+void directory::remove(time_point now, const store_item& content)
+{
+    if (!m_items.contains(content.key)) {
+        return;
+    }
+    // Entries that lapse while the store is away come back soon after its return.
+    if (is_worker(content.key) && now < m_failed + recent_outage) {
+        m_vanished.try_emplace(content.key, now);
+        return;
+    }
+    drop(now, content.key);
+}
+
+void directory::drop(time_point now, const std::string& key)
+{
+    const auto known = m_items.find(key);
+    if (known == m_items.end()) {
+        return;
+    }
+    const auto worker = m_workers.find(key);
+    if (worker != m_workers.end()) {
+        m_lapsed = worker->second.draining ? m_lapsed : now;
+        m_workers.erase(worker);
+    }
+    if (m_removed.size() >= max_removed) {
+        m_removed.clear();
+        m_first_sequence = m_sequence;
+    }
+    item& removed = m_removed[key];
+    removed.content = {key, {}, known->second.content.revision, true};
+    removed.changed = ++m_sequence;
+    m_items.erase(known);
+    m_own.forget(key);
+    mark(key);
+}
+
+void directory::keep_only(time_point now, const std::string& prefix, const std::set<std::string>& present)
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, one] : m_items) {
+        if (key.starts_with(prefix) && !present.contains(key)) {
+            missing.push_back(key);
+        }
+    }
+    for (const std::string& key : missing) {
+        if (is_worker(key)) {
+            m_vanished.try_emplace(key, now);
+        } else {
+            drop(now, key);
+        }
+    }
+}
+
+void directory::forget_vanished(time_point now)
+{
+    for (auto position = m_vanished.begin(); position != m_vanished.end();) {
+        if (now > position->second + vanished_time) {
+            drop(now, position->first);
+            position = m_vanished.erase(position);
+        } else {
+            ++position;
+        }
+    }
+}
+
+void directory::mark(const std::string& key)
+{
+    m_changes.workers = m_changes.workers || is_worker(key);
+    m_changes.instances = m_changes.instances || m_own.is_instance(key);
+    m_changes.layout = m_changes.layout || m_own.is_layout(key);
+}
+
+directory::change directory::take_changes()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::vector<directory::skipped_entry> directory::take_skipped()
+{
+    return std::exchange(m_skipped, {});
+}
+
+workers::directory_push directory::changes_since(std::uint64_t sequence) const
+{
+    workers::directory_push push;
+    push.revision = m_revision;
+    push.sequence = m_sequence;
+    push.complete = sequence < m_first_sequence || sequence > m_sequence;
+    const std::uint64_t since = push.complete ? 0 : sequence;
+    if (m_configuration_changed > since) {
+        push.items.push_back({m_configuration.key, m_configuration.revision, m_configuration.value});
+    }
+    for (const auto& [key, one] : m_items) {
+        if (one.changed > since) {
+            push.items.push_back({key, one.content.revision, one.content.value});
+        }
+    }
+    for (const auto& [key, one] : m_removed) {
+        if (!push.complete && one.changed > since) {
+            push.items.push_back({key, one.content.revision, {}});
+        }
+    }
+    return push;
+}
+
+std::vector<workers::worker_entry> directory::workers() const
+{
+    std::vector<workers::worker_entry> found;
+    found.reserve(m_workers.size());
+    for (const auto& [key, entry] : m_workers) {
+        found.push_back(entry);
+    }
+    return found;
+}
+
+bool directory::complete(time_point now) const
+{
+    return now > m_failed + outage_memory && now > m_lapsed + lapse_memory;
+}
+
+}  // namespace poplarshed::instance
--- /dev/null
+++ b/source/instance/directory.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "instance/own_records.h"
+#include "instance/protocol.h"
+
+namespace poplarshed::instance {
+
+/// Copy of the parts of the store that an instance needs: the configuration, the entries of workers and the
+/// instances' own records. Fed by the store or by a peer; changes are numbered, so that peers can ask for
+/// those that they lack. Not thread-safe; no I/O.
+class directory {
+public:
+    struct change {
+        bool configuration = false;
+        bool workers = false;
+        bool instances = false;
+        bool layout = false;
+    };
+
+    /// An entry that names no worker to use.
+    struct skipped_entry {
+        std::string key;
+        std::string cause;
+    };
+
+    /// @param first_sequence above every sequence of a former life of this instance
+    directory(const protocol& protocol, const std::string& node, std::uint64_t first_sequence);
+
+    /// All items of a prefix. Workers that are missing stay for a while, since they may have lapsed in an
+    /// outage of the store.
+    void on_list(time_point now, const std::string& prefix, const std::vector<store_item>& items);
+    void on_events(time_point now, const std::vector<store_item>& items);
+    /// Items that a peer passes on. Older ones than the known ones are left out.
+    void on_relay(time_point now, const workers::directory_push& push);
+    /// A call to the store has failed: entries that go now may come back.
+    void on_store_failure(time_point now) { m_failed = now; }
+    /// Drops workers that are missing for longer than an outage explains. To be called while the store is
+    /// reachable, here or at the peer that passes its items on.
+    void forget_vanished(time_point now);
+
+    /// What has changed since the last call.
+    change take_changes();
+    std::vector<skipped_entry> take_skipped();
+    /// Items that have changed since a sequence number of this instance; all where it is not known.
+    workers::directory_push changes_since(std::uint64_t sequence) const;
+    std::uint64_t sequence() const { return m_sequence; }
+    /// Greatest revision of an item.
+    std::uint64_t revision() const { return m_revision; }
+
+    const std::string& configuration_value() const { return m_configuration.value; }
+    std::vector<workers::worker_entry> workers() const;
+    const own_records& own() const { return m_own; }
+    bool contains(const std::string& key) const { return m_items.contains(key); }
+    /// No worker has lapsed lately without having said that it drains, and no call has failed: none that may
+    /// be alive is missing.
+    bool complete(time_point now) const;
+
+private:
+    struct item {
+        store_item content;
+        std::uint64_t changed = 0;  ///< sequence of the last change that matters
+    };
+
+    void apply(time_point now, const store_item& content);
+    /// @returns false if nothing but a sign of life has changed
+    bool apply_worker(const store_item& content);
+    void remove(time_point now, const store_item& content);
+    void drop(time_point now, const std::string& key);
+    void keep_only(time_point now, const std::string& prefix, const std::set<std::string>& present);
+    void mark(const std::string& key);
+    bool is_worker(const std::string& key) const { return key.starts_with(m_workers_prefix); }
+
+    const protocol& m_protocol;
+    std::string m_workers_prefix;
+    own_records m_own;
+    std::map<std::string, item> m_items;
+    std::map<std::string, workers::worker_entry> m_workers;  ///< by key
+    std::map<std::string, time_point> m_vanished;            ///< workers that a new list lacks
+    std::map<std::string, item> m_removed;                   ///< for peers that ask for changes
+    store_item m_configuration;
+    std::uint64_t m_configuration_changed = 0;
+    change m_changes;
+    std::vector<skipped_entry> m_skipped;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_sequence;
+    std::uint64_t m_first_sequence;  ///< changes before it are not remembered
+    time_point m_failed;
+    time_point m_lapsed;  ///< when a worker went without having said that it drains; the start counts
+};
+
+}  // namespace poplarshed::instance
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -4,28 +4,25 @@
 
 namespace poplarshed::instance {
 
-namespace {
-
-std::uint64_t wall_microseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(now).count());
-}
-
-}  // namespace
-
 pool_host::pool_host(pool_host_options options, pool_outputs& outputs, time_point started)
     : m_options(std::move(options)), m_outputs(outputs), m_ownership(started)
 {}
 
-void pool_host::on_directory(time_point now, routing::pool_map pools, bool complete)
+void pool_host::on_completeness(bool complete)
 {
-    m_directory = std::move(pools);
     m_complete = complete;
+    for (const auto& [id, pool] : m_pools) {
+        pool->on_completeness(complete);
+    }
+}
+
+void pool_host::on_directory(time_point now, routing::pool_map pools)
+{
+    m_directory = std::move(pools);
     for (const auto& [id, pool] : m_pools) {
         const auto found = m_directory.find(id);
-        pool->on_directory(
-            now, found == m_directory.end() ? std::vector<workers::worker_entry>() : found->second, complete);
+        pool->on_directory(now,
+                           found == m_directory.end() ? std::vector<workers::worker_entry>() : found->second);
     }
 }
 
@@ -83,7 +80,8 @@
     options.remote_slowdown = m_options.remote_slowdown;
     m_last_run = options.first_run;
     auto created = std::make_unique<workers::pool>(options, now);
-    created->on_directory(now, entries, m_complete);
+    created->on_completeness(m_complete);
+    created->on_directory(now, entries);
     m_pools.insert_or_assign(pool, std::move(created));
     m_outputs.on_held_changed(now);
 }
@@ -131,6 +129,13 @@
     }
 }
 
+void pool_host::on_pause(time_point now)
+{
+    for (const routing::pool_id& pool : held()) {
+        drop(now, pool, "paused");
+    }
+}
+
 workers::pool* pool_host::find(const pending_order& order)
 {
     const auto found = m_pools.find(order.pool);
@@ -212,6 +217,13 @@
     return found;
 }
 
+void pool_host::add_owners(std::set<endpoint>& owners) const
+{
+    for (const auto& [id, pool] : m_pools) {
+        pool->add_owners(owners);
+    }
+}
+
 std::size_t pool_host::job_count() const
 {
     std::size_t total = 0;
--- a/source/instance/pool_host.h
+++ b/source/instance/pool_host.h
@@ -54,8 +54,10 @@
         bool leaving = false;
     };
 
-    /// Workers by pool. @param complete no worker that may be alive is missing
-    void on_directory(time_point now, routing::pool_map pools, bool complete);
+    /// Workers by pool.
+    void on_directory(time_point now, routing::pool_map pools);
+    /// @param complete no worker that may be alive is missing
+    void on_completeness(bool complete);
     /// Drops and takes pools. @returns claims to write to the store
     std::vector<routing::claim_pool> decide(time_point now, const surroundings& view);
     /// @param revision of the claim's record, where the store accepted it
@@ -66,6 +68,8 @@
     bool on_offer(time_point now, workers::job_offer& offer);
     void on_cancel(time_point now, const workers::job_cancel& cancel);
     void on_owner_lost(time_point now, const endpoint& owner);
+    /// This process did not run for a while: leases have lapsed and other instances may hold its pools.
+    void on_pause(time_point now);
     /// The pool that an answer belongs to; nullptr if it was given up since the order was sent.
     workers::pool* find(const pending_order& order);
     void on_other_pools(const routing::peer_table& peers, time_point now);
@@ -77,6 +81,8 @@
     std::vector<routing::pool_id> held() const;
     std::vector<workers::pool_load> loads(time_point now) const;
     std::size_t job_count() const;
+    /// Adds the instances whose jobs are here.
+    void add_owners(std::set<endpoint>& owners) const;
 
 private:
     void take(time_point now, const routing::pool_id& pool, workers::fencing_token token);
--- a/source/instance/settings.h
+++ b/source/instance/settings.h
@@ -17,7 +17,7 @@
     std::string time_limit_header = "Poplarshed-Timeout-Ms";  ///< callers.time_limit_header
     endpoint readiness;                                       ///< readiness.listen; empty: not served
     endpoint metrics;                                         ///< metrics.listen; empty: not served
-    endpoint peers_listen;             ///< peers.listen, required
+    endpoint peers_listen;                                    ///< peers.listen, required
     endpoint peers;                    ///< peers.advertise: address that peers use; default: peers.listen
     std::vector<endpoint> seeds;       ///< peers.seeds: instances to connect to before the store names any
     std::string peer_key;              ///< peers.key, required: shared by all instances
--- a/source/routing/ownership.cpp
+++ b/source/routing/ownership.cpp
@@ -131,8 +131,7 @@
     }
     const bool recorded =
         record != view.records.end() && !(record->second.holder == view.peers.self()) && !held_elsewhere;
-    const auto silence = recorded ? view.peers.silence(now, record->second.holder) : std::nullopt;
-    const bool holder_leaves = recorded && silence && *silence <= silence_limit;
+    const bool holder_leaves = recorded && view.peers.is_live(now, record->second.holder);
     if (!recorded || holder_leaves) {
         return view.peers.hears_most(now) || !recorded;
     }
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -14,13 +14,14 @@
     item.status = status;
     item.heard = now;
     item.reported_down = false;
+    item.closed = false;
 }
 
 void peer_table::on_down(const endpoint& address)
 {
     const auto found = m_peers.find(address);
     if (found != m_peers.end()) {
-        found->second.heard -= silence_limit;
+        found->second.closed = true;
     }
 }
 
@@ -28,7 +29,7 @@
 {
     std::vector<endpoint> silent;
     for (auto& [address, item] : m_peers) {
-        if (address != m_self && !item.reported_down && now - item.heard > silence_limit) {
+        if (address != m_self && !item.reported_down && !is_live(now, address)) {
             item.reported_down = true;
             silent.push_back(address);
         }
@@ -40,7 +41,8 @@
 bool peer_table::is_live(time_point now, const endpoint& address) const
 {
     const auto found = m_peers.find(address);
-    return found != m_peers.end() && now - found->second.heard <= silence_limit;
+    return found != m_peers.end() && !found->second.closed &&
+           now - found->second.heard <= found->second.silence_limit();
 }
 
 std::optional<milliseconds> peer_table::silence(time_point now, const endpoint& address) const
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -9,10 +10,15 @@
 
 namespace poplarshed::routing {
 
-/// Statuses are sent at this interval.
+/// Least interval between two statuses to one peer.
 inline constexpr milliseconds status_interval{60};
-/// A peer without a status for this time counts as down. Ten lost statuses, or a pause of the sender.
-inline constexpr milliseconds silence_limit{600};
+/// Longest interval between two instances that share a job: each must soon notice that the other is gone.
+inline constexpr milliseconds related_interval{150};
+/// A peer without a status for its promised interval and this time counts as down. Nine lost statuses at the
+/// least interval, or a pause of the sender.
+inline constexpr milliseconds tolerated_silence{540};
+/// Longest silence after which an instance that shares a job counts as down.
+inline constexpr milliseconds related_silence_limit = related_interval + tolerated_silence;
 /// A peer that was heard in this time is expected to be there, for the count of those that should be heard.
 inline constexpr milliseconds remembered_time{30'000};
 
@@ -23,6 +29,13 @@
         workers::instance_status status;
         time_point heard;
         bool reported_down = false;
+        bool closed = false;  ///< the connection has ended since
+
+        /// Time without a status after which the peer counts as down.
+        milliseconds silence_limit() const
+        {
+            return std::max(status.next, status_interval) + tolerated_silence;
+        }
     };
 
     explicit peer_table(endpoint self, data_centre_id data_centre);
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -13,9 +13,11 @@
 // Hint to callers while no pool has a holder; a takeover takes about this long.
 constexpr milliseconds takeover_retry_after{500};
 constexpr std::uint32_t last_return = 2;
+// A holder that has given a pool up says so in a status that may still be on its way.
+constexpr milliseconds settling_time{100};
 // A holder whose status is older than three intervals may be cut off; its pool is chosen only where no other
 // is.
-constexpr milliseconds fresh_status = status_interval * 3;
+constexpr int fresh_intervals = 3;
 constexpr milliseconds stale_cost{1000};
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
@@ -35,6 +37,11 @@
     return std::chrono::duration_cast<milliseconds>(now - then);
 }
 
+milliseconds fresh_status(const workers::instance_status& status)
+{
+    return std::max(status.next, status_interval) * fresh_intervals;
+}
+
 workers::job_demand demand_of(const std::vector<workers::job_step>& steps)
 {
     workers::job_demand need;
@@ -117,7 +124,7 @@
             const bool near = status.data_centre == m_peers.data_centre();
             const milliseconds age = m_peers.silence(now, status.address).value_or(milliseconds(0));
             const milliseconds cost = *predicted + (near ? milliseconds(0) : remote_cost) +
-                                      (age > fresh_status ? stale_cost : milliseconds(0));
+                                      (age > fresh_status(status) ? stale_cost : milliseconds(0));
             if (!best || cost < best_cost) {
                 best = choice{load.pool, status.address, *predicted, age};
                 best_cost = cost;
@@ -345,8 +352,14 @@
                    routing_decision::offered_again);
         return;
     }
-    const bool gone = load == nullptr || holder != item.holder;
-    if (!item.lost && !gone) {
+    if (load != nullptr && holder == item.holder) {
+        // Back after a silence: it may have dropped the job, or its answer may have got lost.
+        if (item.lost && now >= item.lost_at + settling_time) {
+            prepare_again(now, item);
+            send_offer(now, item,
+                       {item.offer.pool, holder, {}, m_peers.silence(now, holder).value_or(milliseconds(0))},
+                       routing_decision::offered_again);
+        }
         return;
     }
     if (!item.lost) {
@@ -364,11 +377,23 @@
         return;
     }
     prepare_again(now, item);
+    // For a holder that was only paused.
+    m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
     if (!offer(now, item, routing_decision::offered_elsewhere)) {
         give_up(now, id, refusal_reason::owner_lost);
     }
 }
 
+void router::on_pause(time_point now)
+{
+    for (auto& [id, item] : m_jobs) {
+        if (!item.holder.empty() && !item.lost) {
+            item.lost = true;
+            item.lost_at = now;
+        }
+    }
+}
+
 void router::on_tick(time_point now)
 {
     std::vector<job_id> ids;
@@ -390,6 +415,15 @@
     }
 }
 
+void router::add_holders(std::set<endpoint>& holders) const
+{
+    for (const auto& [id, item] : m_jobs) {
+        if (!item.holder.empty()) {
+            holders.insert(item.holder);
+        }
+    }
+}
+
 std::vector<routing_action> router::take_actions()
 {
     return std::exchange(m_actions, {});
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <unordered_map>
 #include <variant>
 
@@ -63,9 +64,10 @@
 using routing_action = std::variant<to_holder, answer_caller, routing_record>;
 
 struct router_options {
-    /// A holder that hears nothing of this instance stops its jobs after silence_limit; what runs on workers
-    /// that it cannot reach ends with the lease. After both, nothing of a job runs in the pool.
-    milliseconds lost_holder_time{600 + 1000 + 120 + 180};
+    /// A holder that hears nothing of this instance stops its jobs after related_silence_limit; what runs on
+    /// workers that it cannot reach ends with the lease. After both, and the time of the messages, nothing of
+    /// a job runs in the pool.
+    milliseconds lost_holder_time = related_silence_limit + milliseconds(1000 + 120 + 180);
     /// While no pool has had a holder for longer, requests are refused at once. A start or takeover takes
     /// less.
     milliseconds holder_absence{2500};
@@ -87,9 +89,13 @@
     void on_progress(const workers::job_progress& progress);
     void on_result(time_point now, const endpoint& from, const workers::job_result& result);
     void on_tick(time_point now);
+    /// This process did not run for a while; holders may have taken it for gone.
+    void on_pause(time_point now);
     /// A status has arrived; offers sent before it are part of its figures.
     void on_status(const endpoint& holder);
     std::size_t job_count() const { return m_jobs.size(); }
+    /// Adds the instances that have jobs of this one.
+    void add_holders(std::set<endpoint>& holders) const;
     std::vector<routing_action> take_actions();
 
 private:
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -167,8 +167,8 @@
     const auto data_centre = pack(out, value.data_centre);
     const auto pools = pack_each(out, value.pools, [&out](const auto& item) { return pack(out, item); });
     return fb::Createinstance_status(out, address, data_centre, value.leaving, value.directory_current,
-                                     value.configuration_version, value.store_revision, pools,
-                                     value.cpu_milli);
+                                     value.configuration_version, value.directory_sequence, pools,
+                                     value.cpu_milli, value.next.count(), value.directory_source);
 }
 
 std::optional<workers::instance_status> unpack(const fb::instance_status& table)
@@ -180,8 +180,10 @@
         table.leaving(),
         table.directory_current(),
         table.configuration_version(),
-        table.store_revision(),
-        unpack_each(*table.pools(), [](const auto& item) { return unpack(item); })};
+        table.directory_sequence(),
+        unpack_each(*table.pools(), [](const auto& item) { return unpack(item); }),
+        milliseconds(table.next_ms()),
+        table.directory_source()};
 }
 
 flatbuffers::Offset<fb::directory_pull> pack(builder& out, const workers::directory_pull& value)
@@ -200,7 +202,8 @@
         const auto key = out.CreateString(item.key);
         return fb::Createdirectory_entry(out, key, item.revision, out.CreateString(item.value));
     });
-    return fb::Createdirectory_push(out, value.revision, items);
+    const auto source = pack(out, value.source);
+    return fb::Createdirectory_push(out, value.revision, items, value.complete, source, value.sequence);
 }
 
 std::optional<workers::directory_push> unpack(const fb::directory_push& table)
@@ -208,7 +211,8 @@
     auto items = unpack_each(*table.items(), [](const fb::directory_entry& item) {
         return workers::directory_item{item.key()->str(), item.revision(), item.value()->str()};
     });
-    return workers::directory_push{table.revision(), std::move(items)};
+    return workers::directory_push{endpoint(table.source()->str()), table.sequence(), table.revision(),
+                                   table.complete(), std::move(items)};
 }
 
 }  // namespace poplarshed::wire
--- a/source/workers/policy.cpp
+++ b/source/workers/policy.cpp
@@ -1,6 +1,7 @@
 #include "workers/policy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace poplarshed::workers {
 
@@ -9,6 +10,16 @@
 // Estimates of single tasks are off by 40%; a placement counts on a quarter more.
 constexpr double duration_margin = 1.25;
 
+// Durations within this factor count as alike: learned speeds are no more certain than that.
+constexpr double alike_factor = 1.3;
+
+/// Class of durations that are alike; longer ones have higher numbers.
+int duration_class(milliseconds value)
+{
+    const auto ms = static_cast<double>(std::max<std::int64_t>(1, value.count()));
+    return static_cast<int>(std::floor(std::log(ms) / std::log(alike_factor)));
+}
+
 milliseconds with_margin(milliseconds value)
 {
     return milliseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * duration_margin));
@@ -47,18 +58,19 @@
 {
     const placement_candidate* in_time = nullptr;
     const placement_candidate* fastest = nullptr;
+    // Of workers that are alike, the one with the least room left over: large tasks need whole ones.
+    const auto better = [](const placement_candidate* known, const placement_candidate& item, int sign) {
+        if (known == nullptr) {
+            return true;
+        }
+        const int difference = sign * (duration_class(item.duration) - duration_class(known->duration));
+        return difference != 0 ? difference > 0 : item.cpu_left < known->cpu_left;
+    };
     for (const placement_candidate& item : candidates) {
-        if (fastest == nullptr || item.duration < fastest->duration ||
-            (item.duration == fastest->duration && item.cpu_left < fastest->cpu_left)) {
+        if (better(fastest, item, -1)) {
             fastest = &item;
         }
-        if (goal.now + with_margin(item.duration) > goal.objective_at) {
-            continue;
-        }
-        const bool slower = in_time == nullptr || item.duration > in_time->duration;
-        const bool tighter =
-            in_time != nullptr && item.duration == in_time->duration && item.cpu_left < in_time->cpu_left;
-        if (slower || tighter) {
+        if (goal.now + with_margin(item.duration) <= goal.objective_at && better(in_time, item, 1)) {
             in_time = &item;
         }
     }
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -41,8 +41,10 @@
     pool& operator=(const pool&) = delete;
     ~pool();
 
-    /// The workers of the pool. @param complete no worker is missing because the directory was away
-    void on_directory(time_point now, const std::vector<worker_entry>& entries, bool complete);
+    /// The workers of the pool.
+    void on_directory(time_point now, const std::vector<worker_entry>& entries);
+    /// @param complete no worker is missing because the directory was away
+    void on_completeness(bool complete) { m_complete = complete; }
     void on_offer(time_point now, const endpoint& owner, job_offer offer);
     void on_cancel(time_point now, const endpoint& owner, const job_id& id);
     /// An instance is silent; its callers have lost their connections.
@@ -63,6 +65,8 @@
     const service_id& service() const { return m_options.service; }
     pool_load load(time_point now) const;
     std::size_t job_count() const;
+    /// Adds the instances whose jobs are here.
+    void add_owners(std::set<endpoint>& owners) const;
     std::size_t run_count() const;
     std::vector<action> take_actions();
 
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -100,8 +100,9 @@
     --item.step_left.at(ref_of(item, number).step);
 }
 
-// Takes what a former holder has started or seen end. Called with each offer, and again for each listing,
-// since owners and workers answer a new holder in any order.
+// Takes what a former holder has started or seen end, and what is still being stopped of a job that was given
+// up here. Called with each offer, and again for each listing, since owners and workers answer a new holder in
+// any order.
 void pool::adopt(time_point now, job& item)
 {
     for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
@@ -112,7 +113,7 @@
     }
     for (auto& [id, on] : m_workers) {
         for (auto& [ref, running] : on.runs) {
-            if (!running.orphan || ref.job != item.offer.job || ref.step >= item.first_task.size()) {
+            if (ref.job != item.offer.job || ref.step >= item.first_task.size()) {
                 continue;
             }
             const std::uint32_t number = number_of(item, ref);
@@ -358,6 +359,13 @@
     return m_jobs.size();
 }
 
+void pool::add_owners(std::set<endpoint>& owners) const
+{
+    for (const auto& [id, item] : m_jobs) {
+        owners.insert(item->owner);
+    }
+}
+
 std::size_t pool::run_count() const
 {
     std::size_t total = 0;
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -46,9 +46,8 @@
 
 }  // namespace
 
-void pool::on_directory(time_point now, const std::vector<worker_entry>& entries, bool complete)
+void pool::on_directory(time_point now, const std::vector<worker_entry>& entries)
 {
-    m_complete = complete;
     for (auto& [id, on] : m_workers) {
         on.present = false;
     }
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -146,16 +146,18 @@
     bool operator==(const pool_load&) const = default;
 };
 
-/// Message: sent to every instance at an interval; also the sign of life.
+/// Message: sent to other instances at intervals; also the sign of life.
 struct instance_status {
     endpoint address;
     data_centre_id data_centre;
     std::int64_t cpu_milli = 0;  ///< processor share of the instance, in thousandths of a core
     bool leaving = false;
-    bool directory_current = false;  ///< the sender hears of changes from the store itself
+    bool directory_current = false;  ///< the sender hears of changes, from the store or from a source
     std::uint64_t configuration_version = 0;
-    std::uint64_t store_revision = 0;
-    std::vector<pool_load> pools;  ///< that the sender holds
+    std::uint64_t directory_sequence = 0;  ///< number of the sender's last change of the directory
+    std::vector<pool_load> pools;          ///< that the sender holds
+    milliseconds next{};                   ///< the receiver gets the next status within this time
+    bool directory_source = false;         ///< the sender watches the store and passes changes on
 
     bool operator==(const instance_status&) const = default;
 };
@@ -169,7 +171,7 @@
     bool operator==(const directory_item&) const = default;
 };
 
-/// Message: asks for the items that changed since a revision.
+/// Message: asks for the items that changed since a sequence number of the receiver; 0: all of them.
 struct directory_pull {
     endpoint from;
     std::uint64_t since = 0;
@@ -177,9 +179,12 @@
     bool operator==(const directory_pull&) const = default;
 };
 
-/// Message: all current items that changed since the revision of the pull, and every key.
+/// Message: the items that changed since the sequence number of the pull.
 struct directory_push {
-    std::uint64_t revision = 0;
+    endpoint source;
+    std::uint64_t sequence = 0;  ///< of the source's last change
+    std::uint64_t revision = 0;  ///< greatest of the source's items
+    bool complete = false;       ///< all items; those that are missing are gone
     std::vector<directory_item> items;
 
     bool operator==(const directory_push&) const = default;
--- a/tests/instance/pool_host_test.cpp
+++ b/tests/instance/pool_host_test.cpp
@@ -33,7 +33,7 @@
     fixture()
     {
         peers.on_status(now, status());
-        host.on_directory(now, directory(), true);
+        host.on_directory(now, directory());
     }
 
     static routing::pool_map directory()
@@ -106,7 +106,7 @@
 {
     fixture f;
     BOOST_REQUIRE_EQUAL(f.decide().size(), 1U);
-    f.host.on_directory(f.now, {}, true);
+    f.host.on_directory(f.now, {});
     f.host.on_claim_answer(f.now, pool, 7, false);
     BOOST_TEST(f.decide().empty());
     BOOST_TEST(f.host.held().empty());
@@ -117,10 +117,10 @@
 {
     fixture f;
     BOOST_REQUIRE_EQUAL(f.decide().size(), 1U);
-    f.host.on_directory(f.now, {}, true);
+    f.host.on_directory(f.now, {});
     f.host.on_claim_answer(f.now, pool, 7, false);
     f.decide();
-    f.host.on_directory(f.now, fixture::directory(), true);
+    f.host.on_directory(f.now, fixture::directory());
     BOOST_TEST(f.decide().size() == 1U);
 }
 
@@ -137,7 +137,7 @@
     workers::job_offer offer = fixture::offer();
     offer.may_have_run = true;
     BOOST_TEST(f.host.on_offer(f.now, offer));
-    f.host.on_directory(f.now, {}, true);
+    f.host.on_directory(f.now, {});
     f.decide();
     BOOST_TEST(f.host.held().empty());
     BOOST_REQUIRE(!f.out.messages.empty());
@@ -157,9 +157,9 @@
     f.host.pump(f.now);
     const pending_order former = f.out.orders.at(0);
     BOOST_TEST(f.host.find(former) != nullptr);
-    f.host.on_directory(f.now, {}, true);
+    f.host.on_directory(f.now, {});
     f.decide();
-    f.host.on_directory(f.now, fixture::directory(), true);
+    f.host.on_directory(f.now, fixture::directory());
     f.decide();
     f.host.on_claim_answer(f.now, pool, 9, false);
     BOOST_TEST(f.host.find(former) == nullptr);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -203,7 +203,7 @@
     unreachable.capacity_cpu = 0;
     f.hear(status_of("foreign", "punkunnam", {unreachable, load_of(other_pool)}));
     BOOST_TEST(offers(f.pass(milliseconds(20)), "foreign").empty());
-    f.now += milliseconds(1900);
+    f.now += router_options().lost_holder_time;
     f.hear(status_of("foreign", "punkunnam", {unreachable, load_of(other_pool)}));
     const auto again = offers(f.pass(milliseconds(20)), "foreign");
     BOOST_REQUIRE_EQUAL(again.size(), 1U);
@@ -230,6 +230,62 @@
     BOOST_TEST(again[0].may_have_run);
 }
 
+// Guards against a job that runs in two pools: the holder was frozen for a second, went on with the job, and
+// the owner offered it elsewhere. Found by a hunted day of crs-endcap.
+BOOST_AUTO_TEST_CASE(a_holder_that_is_back_keeps_it)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    BOOST_REQUIRE_EQUAL(offers(f.submit("j"), "near").size(), 1U);
+    for (int i = 0; i < 50; ++i) {
+        f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+        BOOST_TEST(offers(f.pass(milliseconds(20)), "far").empty());
+    }
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    const auto again = offers(f.pass(milliseconds(20)), "near");
+    BOOST_REQUIRE_EQUAL(again.size(), 1U);
+    BOOST_TEST(again[0].may_have_run);
+    for (int i = 0; i < 100; ++i) {
+        f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+        f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+        const auto actions = f.pass(milliseconds(20));
+        BOOST_TEST(offers(actions, "far").empty());
+        BOOST_TEST(offers(actions, "near").empty());
+    }
+}
+
+// Guards against a paused holder that goes on with a job which another pool has by then.
+BOOST_AUTO_TEST_CASE(a_holder_that_has_lost_it_is_told)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    bool told = false;
+    for (int i = 0; i < 150; ++i) {
+        f.hear(status_of("far", "punkunnam", {load_of(other_pool)}));
+        for (const to_holder& item : all<to_holder>(f.pass(milliseconds(20)))) {
+            told = told || (item.holder == endpoint("near") &&
+                            std::holds_alternative<workers::job_cancel>(item.message));
+        }
+    }
+    BOOST_TEST(told);
+}
+
+// Guards against callers that wait for holders which took this instance for gone while it was paused.
+BOOST_AUTO_TEST_CASE(after_a_pause_of_this_instance_jobs_are_offered_again)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.core.on_pause(f.now);
+    std::size_t again = 0;
+    for (int i = 0; i < 20; ++i) {
+        f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+        again += offers(f.pass(milliseconds(20)), "near").size();
+    }
+    BOOST_TEST(again == 1U);
+}
+
 // Guards against a wait for tasks that were never started.
 BOOST_AUTO_TEST_CASE(a_job_that_was_not_started_is_offered_as_new)
 {
--- /dev/null
+++ b/tests/routing/status_schedule_test.cpp
@@ -0,0 +1,123 @@
+#include <boost/test/unit_test.hpp>
+
+#include "routing_fixture.h"
+
+namespace poplarshed::routing::test {
+
+namespace {
+
+constexpr std::size_t data_centres = 4;
+// A holder has a pool of 40 workers.
+constexpr std::size_t instances_for_each_holder = 3;
+
+/// Instances of which every third holds a pool, as one of them sees them.
+struct fixture {
+    explicit fixture(std::size_t count, std::size_t self = 0)
+        : peers(name(self), place(self)), own_speaks(self % instances_for_each_holder == 0)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const bool holds = i % instances_for_each_holder == 0;
+            const pool_id pool(place(i).value() + "/desk/1." + std::to_string(i));
+            auto status = status_of(name(i).value(), place(i).value());
+            status.pools = holds ? std::vector{load_of(pool)} : std::vector<workers::pool_load>();
+            status.next = seconds(60);
+            peers.on_status(now, status);
+            targets.push_back(name(i));
+        }
+    }
+
+    static endpoint name(std::size_t index) { return endpoint("i" + std::to_string(index)); }
+    static data_centre_id place(std::size_t index)
+    {
+        return data_centre_id("dc" + std::to_string(index % data_centres));
+    }
+
+    /// Statuses that this instance sends within a time, by receiver.
+    std::map<endpoint, int> sent_within(milliseconds time)
+    {
+        std::map<endpoint, int> sent;
+        for (const time_point end = now + time; now < end;) {
+            for (const due_status& due : schedule.due(now, {peers, targets, related, own_speaks})) {
+                ++sent[due.to];
+            }
+            now += milliseconds(10);
+        }
+        return sent;
+    }
+
+    time_point now{seconds(100)};
+    peer_table peers;
+    std::vector<endpoint> targets;
+    std::set<endpoint> related;
+    bool own_speaks;
+    status_schedule schedule;
+};
+
+/// Statuses that instance 0 receives each second from all others, after the first ones. Instances of one data
+/// centre that hold alike speak alike, so one of each kind is asked.
+double received_each_second(std::size_t count)
+{
+    constexpr int measured_s = 8;
+    double total = 0;
+    std::set<std::pair<std::size_t, bool>> asked;
+    for (std::size_t from = 1; from < count; ++from) {
+        const bool holds = from % instances_for_each_holder == 0;
+        if (!asked.emplace(from % data_centres, holds).second) {
+            continue;
+        }
+        fixture f(count, from);
+        f.targets = {fixture::name(0)};
+        f.sent_within(milliseconds(10));
+        const int sent = f.sent_within(seconds(measured_s))[fixture::name(0)];
+        const std::size_t alike = count / data_centres * (holds ? 1 : 2) / instances_for_each_holder;
+        total += static_cast<double>(sent) / measured_s * static_cast<double>(alike);
+    }
+    return total;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(schedule_of_statuses)
+
+// Guards against a router that chooses pools by figures of long ago.
+BOOST_AUTO_TEST_CASE(holders_of_a_small_deployment_speak_every_60_ms)
+{
+    fixture f(6);
+    const auto sent = f.sent_within(seconds(1));
+    BOOST_TEST(sent.size() == 5U);
+    BOOST_TEST(sent.at(fixture::name(4)) >= 16);
+}
+
+// Load pattern: hundreds of instances; 16 statuses a second from each to each took 480 a second at 30 and
+// would take 11,500 at 720. Guards against traffic between instances that grows with their square.
+BOOST_AUTO_TEST_CASE(what_an_instance_receives_is_bounded)
+{
+    for (const std::size_t count : {std::size_t{30}, std::size_t{300}, std::size_t{720}}) {
+        BOOST_TEST(received_each_second(count) <= 500, count);
+    }
+}
+
+// Guards against a holder that goes on with the jobs of an owner that is gone, beyond the time after which
+// the caller sends them again (1.3 s).
+BOOST_AUTO_TEST_CASE(instances_that_share_a_job_hear_each_other_often)
+{
+    fixture f(300, 1);
+    f.related = {fixture::name(3)};
+    BOOST_TEST(f.sent_within(seconds(1)).at(fixture::name(3)) >= 6);
+    BOOST_TEST(related_silence_limit.count() < 1300 - 500);
+}
+
+// Guards against a holder that expects the next status of an owner later than it comes.
+BOOST_AUTO_TEST_CASE(a_promise_is_known)
+{
+    fixture f(300, 1);
+    const endpoint holder = fixture::name(3);
+    BOOST_TEST(!f.schedule.is_related(f.now, holder));
+    f.schedule.on_sent(f.now, {holder, related_interval});
+    BOOST_TEST(f.schedule.is_related(f.now, holder));
+    BOOST_TEST(!f.schedule.is_related(f.now + related_interval, holder));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::routing::test
--- a/tests/users_platform/store_link_test.cpp
+++ b/tests/users_platform/store_link_test.cpp
@@ -9,7 +9,7 @@
 
 /// A store link whose calls are answered by the test.
 struct fixture {
-    fixture() : link({"front-1", endpoint("10.0.0.1:1"), data_centre_id("ollur")}, codec) {}
+    fixture() : link({endpoint("10.0.0.1:1"), data_centre_id("ollur")}, codec, items) {}
 
     static http::response answered(int status, const std::string& body)
     {
@@ -32,16 +32,17 @@
         return row.append(R"(,"value":")").append(body, begin, body.find('"', begin) - begin).append(R"("})");
     }
 
-    /// Answers every call that is due a moment later; worker calls with `items`, the others with nothing.
-    void answer(const std::string& items, int revision)
+    /// Answers every call that is due a moment later; worker calls with `changed`, the others with nothing.
+    void answer(const std::string& changed, int revision)
     {
         now += milliseconds(400);
+        items.forget_vanished(now);
         const std::string rest = R"(,"has_more":false,"store_revision":)" + std::to_string(revision) + "}";
         for (const instance::store_call& call : link.due(now)) {
             const bool workers = call.request.target.find("servers") != std::string::npos;
             const bool list = call.kind == instance::store_call::purpose::list;
             const bool watch = call.kind == instance::store_call::purpose::watch;
-            const std::string rows = workers ? items : std::string();
+            const std::string rows = workers ? changed : std::string();
             std::string body(list ? R"({"items":[)" : R"({"events":[)");
             body.append(rows).append("]").append(rest);
             link.on_answer(now, call, answered(200, list || watch ? body : R"({"lease":4,"ttl_ms":1500})"));
@@ -58,7 +59,10 @@
     }
 
     static inline const platform_protocol codec;
+    bool is_complete() const { return link.watches(now) && items.complete(now); }
+
     time_point now{seconds(1000)};
+    instance::directory items{codec, "front-1", 1};
     instance::store_link link;
 };
 
@@ -73,16 +77,16 @@
     fixture f;
     f.answer(fixture::worker_item("i-1", 5, "ready") + "," + fixture::worker_item("i-2", 6, "draining"), 6);
     f.pass(seconds(40), 6);
-    BOOST_TEST(f.link.worker_items().size() == 2U);
-    BOOST_TEST(f.link.complete(f.now));
+    BOOST_TEST(f.items.workers().size() == 2U);
+    BOOST_TEST(f.is_complete());
     f.answer(R"({"key":"servers/i-2","revision":7,"removed":true})", 7);
     f.pass(milliseconds(800), 7);
-    BOOST_TEST(f.link.worker_items().size() == 1U);
-    BOOST_TEST(f.link.complete(f.now));
+    BOOST_TEST(f.items.workers().size() == 1U);
+    BOOST_TEST(f.is_complete());
     f.answer(R"({"key":"servers/i-1","revision":8,"removed":true})", 8);
     f.pass(milliseconds(800), 8);
-    BOOST_TEST(f.link.worker_items().empty());
-    BOOST_TEST(!f.link.complete(f.now));
+    BOOST_TEST(f.items.workers().empty());
+    BOOST_TEST(!f.is_complete());
 }
 
 // Guards against the same in a process that has not been there when the worker lapsed.
@@ -91,8 +95,8 @@
     fixture f;
     f.answer(fixture::worker_item("i-1", 5, "ready"), 5);
     f.pass(seconds(5), 5);
-    BOOST_TEST(f.link.current(f.now));
-    BOOST_TEST(!f.link.complete(f.now));
+    BOOST_TEST(f.link.watches(f.now));
+    BOOST_TEST(!f.is_complete());
 }
 
 // Guards against workers that are dropped because the store was away for a moment.
@@ -106,9 +110,9 @@
     }
     f.now += milliseconds(400);
     f.answer("", 9);
-    BOOST_TEST(f.link.worker_items().size() == 1U);
+    BOOST_TEST(f.items.workers().size() == 1U);
     f.pass(seconds(4), 9);
-    BOOST_TEST(f.link.worker_items().empty());
+    BOOST_TEST(f.items.workers().empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -73,9 +73,10 @@
                    false,
                    {1}},
         job_cancel{offer.job, endpoint("127.0.0.1:3")},
-        instance_status{endpoint("127.0.0.1:4"), data_centre_id("ollur"), 250, true, true, 6, 7, {load}},
+        instance_status{endpoint("127.0.0.1:4"), data_centre_id("ollur"), 250, true, true, 6, 7, {load},
+                        milliseconds(150), true},
         directory_pull{endpoint("127.0.0.1:5"), 11},
-        directory_push{12, {{"servers/i-1", 13, "{}"}, {"k", 14, ""}}},
+        directory_push{endpoint("127.0.0.1:4"), 11, 12, true, {{"servers/i-1", 13, "{}"}, {"k", 14, ""}}},
     };
 }
 
--- a/tests/workers/policy_test.cpp
+++ b/tests/workers/policy_test.cpp
@@ -70,6 +70,17 @@
     BOOST_TEST(choose_worker(mixed, {now, now + milliseconds(150), now + seconds(3), true}).value() == 0U);
 }
 
+// Load pattern: tasks of 10 to 24 cores on workers of 32, most of them in use. Guards against small tasks
+// that take whole workers for a few milliseconds of speed, so that large ones find none.
+BOOST_AUTO_TEST_CASE(of_workers_of_like_speed_the_one_with_the_least_room_left_is_taken)
+{
+    const std::vector<placement_candidate> alike{{0, milliseconds(100), 18'000},
+                                                 {1, milliseconds(105), 4'000}};
+    for (const bool scarce : {false, true}) {
+        BOOST_TEST(choose_worker(alike, {now, now + seconds(1), now + seconds(3), scarce}).value() == 1U);
+    }
+}
+
 // Guards against a start that is of no use to the caller.
 BOOST_AUTO_TEST_CASE(no_worker_is_taken_that_ends_after_the_useful_time)
 {
--- a/tests/workers/pool_fixture.h
+++ b/tests/workers/pool_fixture.h
@@ -17,7 +17,8 @@
         for (std::size_t i = 0; i < worker_count; ++i) {
             entries.push_back(entry(i, cpu));
         }
-        m_pool.on_directory(m_now, entries, true);
+        m_pool.on_completeness(true);
+        m_pool.on_directory(m_now, entries);
         take();
     }
 
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -81,7 +81,8 @@
 {
     pool_fixture world(1);
     world.list(0);
-    world.get().on_directory(world.now(), {pool_fixture::entry(0)}, false);
+    world.get().on_completeness(false);
+    world.get().on_directory(world.now(), {pool_fixture::entry(0)});
     job_offer again = pool_fixture::offer("j", 2, milliseconds(900));
     again.may_have_run = true;
     again.uncertain_tasks = {0};
@@ -90,7 +91,7 @@
     BOOST_REQUIRE_EQUAL(world.starts.size(), 1U);
     BOOST_TEST(world.starts[0].task.index == 1U);
     world.get().on_directory(world.now() + milliseconds(600),
-                             {pool_fixture::entry(0), pool_fixture::entry(1)}, false);
+                             {pool_fixture::entry(0), pool_fixture::entry(1)});
     world.list(1, {{{job_id("j"), 0, 0}, run_number(5), 0}});
     world.pass(milliseconds(1500));
     BOOST_TEST(world.starts.size() == 1U);
@@ -135,6 +136,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_dropped_job_comes_back)
+
+// Guards against a second run of a task whose first one is still being stopped: the pool had taken the owner
+// for gone, and the owner offers the job again.
+BOOST_AUTO_TEST_CASE(a_task_that_is_being_stopped_is_not_started_elsewhere)
+{
+    pool_fixture world(2);
+    world.list(0);
+    world.list(1);
+    job_offer offer = pool_fixture::offer("j", 1, milliseconds(900));
+    world.offer_job(offer);
+    BOOST_REQUIRE_EQUAL(world.starts.size(), 1U);
+    world.get().on_owner_lost(world.now(), offer.owner);
+    world.take();
+    BOOST_REQUIRE_EQUAL(world.stops.size(), 1U);
+    offer.may_have_run = true;
+    offer.uncertain_tasks = {0};
+    offer.uncertain_for = milliseconds(1900);
+    world.offer_job(offer);
+    BOOST_TEST(world.starts.size() == 1U);
+    const stop_order& stop = world.stops[0];
+    world.get().on_stop_reply(world.now(), {stop.target.worker, stop.task, stop.run, stop_outcome::stopped});
+    world.pass(milliseconds(150));
+    BOOST_TEST(world.starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::workers::test
--- a/tests/workers/virtual_workers.cpp
+++ b/tests/workers/virtual_workers.cpp
@@ -41,7 +41,8 @@
         entries.push_back(on.entry);
     }
     m_holders.push_back({std::make_unique<workers::pool>(options, m_now), ++m_last_holder});
-    holder().on_directory(m_now, entries, true);
+    holder().on_completeness(true);
+    holder().on_directory(m_now, entries);
     for (auto& [id, job] : m_jobs) {
         job.offer.may_have_run = true;
         job.offer.age = std::chrono::duration_cast<milliseconds>(m_now - job.offered);
