--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -101,8 +101,8 @@
 }
 
 // Takes what a former holder has started or seen end, and what is still being stopped of a job that was given
-// up here. Called with each offer, and again for each listing, since owners and workers answer a new holder in
-// any order.
+// up here. Called with each offer, and again for each listing, since owners and workers answer a new holder
+// in any order.
 void pool::adopt(time_point now, job& item)
 {
     for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
