instance, routing: keep the lines of failures, count answers, time jobs, runs and store calls

Cause: under load the log dropped decision lines by order of arrival, those of failed requests among them; what was dropped was counted nowhere that an operator sees; refusals and completed jobs were not counted by service and reason, and no histogram was filled, though the metrics page lists them. Ruled out: the writer's thread and the queue, whose reserve works (second test of decision_log). Change: a line about what ends well is routine; every other line is an event that only a full queue drops. Counters jobs_completed, jobs_failed, refusals by service and reason, platform calls and failures by call, log lines dropped; histograms job_seconds, attempt_seconds, platform_seconds. Before: 0 of these series on the metrics address. After: unit tests of workers, routing, instance, users_platform, telemetry and the end-to-end test pass.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -231,6 +231,7 @@
                      {{"configured", static_cast<std::int64_t>(m_configured)},
                       {"leaving", static_cast<std::int64_t>(m_leaving)}}});
     }
+    m_metrics.add(telemetry::log_lines_dropped, {}, m_log.take_dropped());
     m_metrics.set(telemetry::jobs_in_flight, static_cast<double>(m_router.job_count()));
 }
 
@@ -263,15 +264,21 @@
 void daemon::log(time_point now, const workers::decision_record& record, const routing::pool_id& pool)
 {
     m_metrics.add(telemetry::pool_decisions, to_string(record.what));
-    m_log.decision(now, {severity::info,
-                         telemetry::category::dispatch,
-                         std::string(to_string(record.what)),
-                         record.job.value(),
-                         {{"pool", pool.value()},
-                          {"worker", record.worker.value()},
-                          {"detail", record.detail},
-                          {"input_ms", record.input_ms},
-                          {"limit_ms", record.limit_ms}}});
+    if (record.what == workers::decision::run_ended) {
+        m_metrics.observe(telemetry::attempt_seconds, milliseconds(record.input_ms),
+                          routing::service_of(pool).value());
+    }
+    m_log.decision(now,
+                   {severity::info,
+                    telemetry::category::dispatch,
+                    std::string(to_string(record.what)),
+                    record.job.value(),
+                    {{"pool", pool.value()},
+                     {"worker", record.worker.value()},
+                     {"detail", record.detail},
+                     {"input_ms", record.input_ms},
+                     {"limit_ms", record.limit_ms}}},
+                   is_routine(record));
 }
 
 void daemon::log_hold(std::string_view event, const routing::pool_id& pool, std::string_view cause)
@@ -295,7 +302,7 @@
                    {"input_ms", record.predicted.count()},
                    {"status_age_ms", record.information.count()},
                    {"configuration", static_cast<std::int64_t>(m_configuration.version)}}};
-    m_log.decision(now, std::move(line));
+    m_log.decision(now, std::move(line), is_routine(record));
 }
 
 }  // namespace poplarshed::instance
--- a/source/instance/daemon_callers.cpp
+++ b/source/instance/daemon_callers.cpp
@@ -88,6 +88,19 @@
 
 void daemon::answer(const routing::answer_caller& value)
 {
+    const std::string& service = value.service.value();
+    switch (value.kind) {
+        case routing::answer_kind::completed:
+            m_metrics.add(telemetry::jobs_completed, service);
+            m_metrics.observe(telemetry::job_seconds, value.waited, service);
+            break;
+        case routing::answer_kind::failed:
+            m_metrics.add(telemetry::jobs_failed, service);
+            break;
+        default:
+            m_metrics.count_refusal(value.service, value.reason);
+            break;
+    }
     m_front.respond(value.caller, m_protocol.encode_answer(value), m_leaving);
 }
 
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr int http_too_many = 429;
+constexpr int http_server_error = 500;
 // A worker answers an order within a few milliseconds; ten times that covers a busy link.
 constexpr milliseconds start_timeout{150};
 constexpr milliseconds stop_timeout{200};
@@ -46,8 +48,9 @@
     call.request.timeout = watch ? watch_extra_time : store_timeout;
     http::request request = std::exchange(call.request, {});
     const http::call_id id(++m_last_call);
+    call.sent = steady_clock::now();
+    m_metrics.add(telemetry::platform_calls, to_string(call.kind));
     m_calls.emplace(id, std::move(call));
-    m_metrics.add(telemetry::platform_calls);
     if (!m_http.start(id, std::move(request))) {
         m_inbox.push(call_ended{id, {}});
     }
@@ -92,6 +95,10 @@
 {
     const store_answer answer = m_store.on_answer(now, pending, response);
     const bool done = answer.status == store_status::done;
+    m_metrics.observe(telemetry::platform_seconds, now - pending.sent, to_string(pending.kind));
+    if (!response.answered() || response.status >= http_server_error || response.status == http_too_many) {
+        m_metrics.add(telemetry::platform_failures, to_string(pending.kind));
+    }
     if (pending.kind == store_call::purpose::claim) {
         const routing::pool_id pool(pending.key);
         m_log.event({severity::info,
--- a/source/instance/decision_log.cpp
+++ b/source/instance/decision_log.cpp
@@ -33,8 +33,12 @@
     m_thread.join();
 }
 
-void decision_log::decision(time_point now, log_line line)
+void decision_log::decision(time_point now, log_line line, bool routine)
 {
+    if (!routine) {
+        event(std::move(line));
+        return;
+    }
     if (!m_decisions) {
         return;
     }
--- a/source/instance/decision_log.h
+++ b/source/instance/decision_log.h
@@ -29,11 +29,13 @@
     decision_log(const decision_log&) = delete;
     decision_log& operator=(const decision_log&) = delete;
 
-    /// A decision about a request; the first to be dropped under load.
-    void decision(time_point now, log_line line);
+    /// A decision about a request.
+    /// @param routine it explains no failure; such lines are the first to be dropped under load
+    void decision(time_point now, log_line line, bool routine = true);
     /// A failed request, or a change of what the process believes.
     void event(log_line line);
-    std::uint64_t dropped() const { return m_dropped; }
+    /// Lines dropped since the last call.
+    std::uint64_t take_dropped() { return m_dropped.exchange(0); }
 
 private:
     void run();
--- a/source/instance/store_link.cpp
+++ b/source/instance/store_link.cpp
@@ -23,8 +23,16 @@
 constexpr milliseconds away_after{1100};
 constexpr milliseconds rewrite_interval{500};
 
+constexpr std::array<std::string_view, store_call::purpose_count> purpose_names{
+    "list", "watch", "grant", "renew", "write", "claim", "layout"};
+
 }  // namespace
 
+std::string_view to_string(store_call::purpose value)
+{
+    return purpose_names.at(static_cast<std::size_t>(value));
+}
+
 store_link::store_link(options values, const protocol& protocol, directory& items)
     : m_options(std::move(values)), m_protocol(protocol), m_directory(items)
 {
--- a/source/instance/store_link.h
+++ b/source/instance/store_link.h
@@ -13,13 +13,18 @@
 /// Call of the store link. `kind` tells the link what an answer belongs to.
 struct store_call {
     enum class purpose { list, watch, grant, renew, write, claim, layout };
+    static constexpr std::size_t purpose_count = 7;
 
     purpose kind = purpose::list;
     std::size_t feed = 0;  ///< of list and watch
     std::string key;       ///< of write, claim and layout
     http::request request;
+    time_point sent{};
 };
 
+/// Name of a call in metrics.
+std::string_view to_string(store_call::purpose value);
+
 /// Keeps the directory up to date from the store, and this instance's lease and records there. Decides when
 /// to call; the owner makes the calls. Not thread-safe.
 class store_link {
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -55,6 +55,19 @@
 
 }  // namespace
 
+bool is_routine(const routing_record& record)
+{
+    switch (record.what) {
+        case routing_decision::offered:
+        case routing_decision::offered_elsewhere:
+            return true;
+        case routing_decision::answered:
+            return record.detail == answer_text(answer_kind::completed, {});
+        default:
+            return false;
+    }
+}
+
 std::string_view to_string(routing_decision value)
 {
     return decision_names.at(static_cast<std::size_t>(value));
@@ -323,13 +336,11 @@
                     milliseconds retry_after)
 {
     const auto found = m_jobs.find(id);
-    m_actions.emplace_back(answer_caller{found->second.caller, id, kind, reason, retry_after});
-    m_actions.emplace_back(routing_record{routing_decision::answered,
-                                          id,
-                                          found->second.holder,
-                                          answer_text(kind, reason),
-                                          since(now, found->second.arrived),
-                                          {}});
+    const milliseconds waited = since(now, found->second.arrived);
+    m_actions.emplace_back(answer_caller{found->second.caller, id, kind, reason, retry_after,
+                                         found->second.offer.service, waited});
+    m_actions.emplace_back(routing_record{
+        routing_decision::answered, id, found->second.holder, answer_text(kind, reason), waited, {}});
     m_callers.erase(found->second.caller);
     m_jobs.erase(found);
 }
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -37,6 +37,8 @@
     answer_kind kind = answer_kind::refused;
     refusal_reason reason = refusal_reason::internal_error;
     milliseconds retry_after{};
+    service_id service;
+    milliseconds waited{};  ///< since the job arrived
 };
 
 enum class routing_decision {
@@ -61,6 +63,9 @@
     milliseconds information{};  ///< age of the holder's status
 };
 
+/// True for what happens to every job that ends well, false for what explains a failed one.
+bool is_routine(const routing_record& record);
+
 using routing_action = std::variant<to_holder, answer_caller, routing_record>;
 
 struct router_options {
--- a/source/routing/types.cpp
+++ b/source/routing/types.cpp
@@ -1,5 +1,7 @@
 #include "routing/types.h"
 
+#include <algorithm>
+
 namespace poplarshed::routing {
 
 const route* configuration::find(std::string_view host, std::string_view path) const
@@ -19,4 +21,11 @@
     return data_centre_id(pool.value().substr(0, pool.value().find('/')));
 }
 
+service_id service_of(const pool_id& pool)
+{
+    const std::string& name = pool.value();
+    const std::size_t begin = std::min(name.find('/'), name.size() - 1) + 1;
+    return service_id(name.substr(begin, name.find('/', begin) - begin));
+}
+
 }  // namespace poplarshed::routing
--- a/source/routing/types.h
+++ b/source/routing/types.h
@@ -49,5 +49,7 @@
 
 /// Data centre of a pool's workers.
 data_centre_id data_centre_of(const pool_id& pool);
+/// The service whose jobs a pool takes; the whole name if it has no such part.
+service_id service_of(const pool_id& pool);
 
 }  // namespace poplarshed::routing
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -61,6 +61,9 @@
 inline constexpr counter_definition routing_decisions{"poplarshed_routing_decisions_total", "decision",
                                                       "Decisions about callers' jobs."};
 
+inline constexpr counter_definition log_lines_dropped{"poplarshed_log_lines_dropped_total", "",
+                                                      "Log lines beyond the bound of the queue or rate."};
+
 inline constexpr gauge_definition jobs_in_flight{"poplarshed_jobs_in_flight", "", "Jobs not yet answered."};
 inline constexpr gauge_definition attempts_in_flight{"poplarshed_attempts_in_flight", "",
                                                      "Requests at runners, not yet answered."};
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -28,8 +28,6 @@
 // Run numbers of a former holder may be higher where clocks differ.
 constexpr std::uint64_t run_number_step = 10'000'000;
 
-constexpr std::array<std::string_view, run_end_count> end_names{"done",   "failed",     "stopped",
-                                                                "lapsed", "peer_ended", "peers_missing"};
 constexpr std::array<std::string_view, start_outcome_count> outcome_names{
     "started",           "fenced",   "superseded",  "expired",   "no_room", "no_ticket", "unhealthy",
     "other_incarnation", "rejected", "unreachable", "unanswered"};
@@ -287,8 +285,8 @@
     const run ended = found->second;
     on.runs.erase(found);
     on.used = on.used.minus(ended.need);
-    record(decision::run_ended, ref.job, on.entry.id,
-           std::string(end_names.at(static_cast<std::size_t>(how))), since(now, ended.sent), ended.expected);
+    record(decision::run_ended, ref.job, on.entry.id, std::string(to_string(how)), since(now, ended.sent),
+           ended.expected);
     if (how == run_end::done) {
         on.failures_in_row = 0;
         on.ejections = 0;
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -12,6 +12,9 @@
     "worker_ejected", "worker_restored",   "worker_silent",    "worker_back",
     "worker_lapsed",  "job_ended",         "orphan_stopped",   "fenced"};
 
+constexpr std::array<std::string_view, run_end_count> run_end_names{"done",   "failed",     "stopped",
+                                                                    "lapsed", "peer_ended", "peers_missing"};
+
 constexpr std::array<std::string_view, job_end_count> end_names{"completed", "failed",  "refused",
                                                                 "returned",  "gave_up", "not_held"};
 
@@ -27,4 +30,24 @@
     return end_names.at(static_cast<std::size_t>(value));
 }
 
+std::string_view to_string(run_end value)
+{
+    return run_end_names.at(static_cast<std::size_t>(value));
+}
+
+bool is_routine(const decision_record& record)
+{
+    switch (record.what) {
+        case decision::admitted:
+        case decision::started:
+            return true;
+        case decision::run_ended:
+            return record.detail == to_string(run_end::done);
+        case decision::job_ended:
+            return record.detail == to_string(job_end::completed);
+        default:
+            return false;
+    }
+}
+
 }  // namespace poplarshed::workers
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -330,6 +330,8 @@
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
+/// Name of a run's end in logs.
+std::string_view to_string(run_end value);
 /// Name of a job's end in logs and metrics.
 std::string_view to_string(job_end value);
 
@@ -343,6 +345,9 @@
     std::int64_t limit_ms = 0;  ///< what it was compared with
 };
 
+/// True for what happens to every job that ends well, false for what explains a failed one.
+bool is_routine(const decision_record& record);
+
 using action = std::variant<start_order, stop_order, list_order, to_owner, decision_record>;
 
 }  // namespace poplarshed::workers
--- a/tests/routing/layout_test.cpp
+++ b/tests/routing/layout_test.cpp
@@ -86,6 +86,13 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(the_name_of_a_pool_tells_its_data_centre_and_service)
+{
+    BOOST_TEST(data_centre_of(pool_id("ollur/desk/1.0")).value() == "ollur");
+    BOOST_TEST(service_of(pool_id("ollur/desk/1.0")).value() == "desk");
+    BOOST_TEST(service_of(pool_id("ollur/desk")).value() == "desk");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::routing::test
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -318,6 +318,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_the_end_is_told)
+
+// Guards against counters and histograms without the service and the time of the answer.
+BOOST_AUTO_TEST_CASE(an_answer_names_the_service_and_the_time_waited)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.pass(milliseconds(40));
+    const auto answers = all<answer_caller>(f.answer("near", "j", workers::job_end::completed, false));
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST(answers[0].service.value() == "desk");
+    BOOST_TEST(answers[0].waited.count() == 40);
+}
+
+// Guards against lines of failed requests that are dropped first under load.
+BOOST_AUTO_TEST_CASE(only_what_ends_well_is_routine)
+{
+    routing_record record{routing_decision::answered, job_id("j"), {}, "completed", {}, {}};
+    BOOST_TEST(is_routine(record));
+    record.detail = "refused: deadline_unreachable";
+    BOOST_TEST(!is_routine(record));
+    record.what = routing_decision::waits_for_lapse;
+    BOOST_TEST(!is_routine(record));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::routing::test
--- a/tests/workers/policy_test.cpp
+++ b/tests/workers/policy_test.cpp
@@ -115,6 +115,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(lines_about_decisions)
+
+// Guards against lines of failed requests that are dropped first under load.
+BOOST_AUTO_TEST_CASE(only_what_ends_well_is_routine)
+{
+    decision_record record{decision::run_ended, job_id("j"), worker_id("w"), "done", 0, 0};
+    BOOST_TEST(is_routine(record));
+    record.detail = "lapsed";
+    BOOST_TEST(!is_routine(record));
+    record.what = decision::job_ended;
+    record.detail = "completed";
+    BOOST_TEST(is_routine(record));
+    record.what = decision::refused_too_late;
+    BOOST_TEST(!is_routine(record));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::workers::test
