ctl: explain how a request ended from the logs of all instances

Cause: the way from a request's id to its cause was a search by hand over the files of all instances, and the lines that explain it (a pool that changed hands, a silent peer) do not name the request. Before: no such command.

--- a/source/ctl/commands.cpp
+++ b/source/ctl/commands.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <random>
 
+#include "ctl/request_path.h"
 #include "json/json.h"
 #include "settings/settings.h"
 
@@ -134,6 +135,10 @@
 
 exit_code commands::explain()
 {
+    if (!m_options.logs.empty()) {
+        const auto found = find_request(m_options.reason, m_options.logs);
+        return print(found ? outcome(report_of(found.value())) : outcome(found.error()));
+    }
     if (const auto reason = parse_refusal_reason(m_options.reason)) {
         return print(report_of_reason(*reason));
     }
--- a/source/ctl/commands.h
+++ b/source/ctl/commands.h
@@ -21,7 +21,8 @@
     std::string other;
     std::string note;
     std::string digest;
-    std::string reason;
+    std::string reason;  ///< or the id of a request
+    std::vector<std::string> logs;
     std::uint64_t version = 0;
     std::size_t limit = 20;
     bool markdown = false;
--- a/source/ctl/main.cpp
+++ b/source/ctl/main.cpp
@@ -23,9 +23,14 @@
 {
     add(app, "status", "Show the status of entry instances", &commands::status, chosen);
     add(app, "drain", "Make entry instances finish their jobs and leave", &commands::drain, chosen);
-    add(app, "explain", "Explain a reason of a refusal", &commands::explain, chosen)
-        ->add_option("reason", options.reason, "Reason as it stands in answers, logs and metrics")
+    CLI::App* const explain = add(app, "explain", "Explain a reason of a refusal, or how a request ended",
+                                  &commands::explain, chosen);
+    explain
+        ->add_option("reason", options.reason,
+                     "Reason as it stands in answers, logs and metrics; with --log the id of a request")
         ->required();
+    explain->add_option("--log", options.logs, "Log file of an instance; may be repeated")
+        ->check(CLI::ExistingFile);
     add(app, "settings", "Print the reference of poplarshed-entry's settings", &commands::settings, chosen)
         ->add_flag("--markdown", options.markdown, "As Markdown: the content of docs/settings.md");
 }
--- a/source/ctl/report.cpp
+++ b/source/ctl/report.cpp
@@ -37,6 +37,33 @@
            (document.note.empty() ? "" : ": " + document.note) + "\n";
 }
 
+report_json to_json(const std::vector<log_entry>& lines)
+{
+    report_json list = report_json::array();
+    for (const log_entry& line : lines) {
+        list.push_back({{"time", line.time_text},
+                        {"instance", line.instance},
+                        {"message", line.message},
+                        {"fields", line.fields}});
+    }
+    return list;
+}
+
+std::string lines_of(const std::vector<log_entry>& lines)
+{
+    std::string text;
+    for (const log_entry& line : lines) {
+        text += "  " + line.time_text + "  " + line.instance + "  " + line.message;
+        for (const auto& [key, value] : line.fields.items()) {
+            if (value != "") {
+                text += "  " + key + " " + (value.is_string() ? value.get<std::string>() : value.dump());
+            }
+        }
+        text += "\n";
+    }
+    return text;
+}
+
 }  // namespace
 
 report report_of(const reviewed_proposal& item, const std::string& action)
@@ -104,6 +131,30 @@
     return out;
 }
 
+report report_of(const request_path& path)
+{
+    report out;
+    out.json = {{"conclusion", path.conclusion},
+                {"lines", to_json(path.own)},
+                {"around", to_json(path.around)},
+                {"unreadable_lines", path.unreadable},
+                {"cut_off", path.cut_off}};
+    out.text = path.conclusion + "\n";
+    if (!path.own.empty()) {
+        out.text += "request:\n" + lines_of(path.own);
+    }
+    if (!path.around.empty()) {
+        out.text += "these instances, from 2 s before to 2 s after:\n" + lines_of(path.around);
+    }
+    if (path.cut_off) {
+        out.text += "there were more lines than are shown\n";
+    }
+    if (path.unreadable > 0) {
+        out.text += std::to_string(path.unreadable) + " lines are no log lines\n";
+    }
+    return out;
+}
+
 report report_of_bundle(const configuration::bundle& content)
 {
     return {report_json::parse(configuration::canonical_text(content)),
--- a/source/ctl/report.h
+++ b/source/ctl/report.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "ctl/ctl.h"
+#include "ctl/request_path.h"
 
 /// What the commands print: one JSON value with --output json, else text.
 namespace poplarshed::ctl {
@@ -21,6 +22,7 @@
 report report_of(const history& items);
 report report_of(const std::vector<configuration::difference>& changes);
 report report_of(const failure& cause);
+report report_of(const request_path& path);
 report report_of_bundle(const configuration::bundle& content);
 report report_of_reason(refusal_reason reason);
 
