--- a/source/ctl/report.cpp
+++ b/source/ctl/report.cpp
@@ -55,7 +55,7 @@
     for (const log_entry& line : lines) {
         text += "  " + line.time_text + "  " + line.instance + "  " + line.message;
         for (const auto& [key, value] : line.fields.items()) {
-            if (value != "") {
+            if (!value.is_string() || !value.get_ref<const std::string&>().empty()) {
                 text += "  " + key + " " + (value.is_string() ? value.get<std::string>() : value.dump());
             }
         }
--- a/source/ctl/request_path.cpp
+++ b/source/ctl/request_path.cpp
@@ -18,7 +18,7 @@
 using std::chrono::milliseconds;
 
 // Longest line that an instance writes, with room for a collector's prefix.
-constexpr std::size_t max_line_bytes = 64U * 1024U;
+constexpr std::size_t max_line_bytes = 65'536;
 // Time before a request in which its cause may lie: the longest wait for leases to lapse.
 constexpr milliseconds context_time{2000};
 // A job of 1,300 tasks, each started twice, fits.
--- a/source/entry/job_parser.cpp
+++ b/source/entry/job_parser.cpp
@@ -50,8 +50,9 @@
                    value.get<std::int64_t>() <= max_declared_run_ms) {
             task.declared_run_time = milliseconds(value.get<std::int64_t>());
         } else {
-            return refuse(refusal_reason::invalid_body,
-                          place + "." + key + " is unknown or has a wrong value");
+            std::string fault = place;
+            fault.append(".").append(key).append(" is unknown or has a wrong value");
+            return refuse(refusal_reason::invalid_body, fault);
         }
     }
     if (!item.contains("payload")) {
