platform, entry, membership: findings of the linter in files that had not been run through it

Change: references, no const on what is returned, a named capture. No change of behaviour. After: tests of platform, coordinator, entry and membership pass.

--- a/source/entry/platform_link.cpp
+++ b/source/entry/platform_link.cpp
@@ -109,10 +109,11 @@
 {
     if (now >= m_next_membership && !m_reading_membership) {
         m_next_membership = now + m_options.membership_interval;
-        m_reading_membership = m_client.read_prefix("membership/", [this](platform::read_outcome outcome) {
-            const bool reachable = outcome.status != platform::read_status::unavailable;
-            m_inbox.push(membership_read{reachable, parse_snapshot(outcome.entries)});
-        });
+        m_reading_membership =
+            m_client.read_prefix("membership/", [this](const platform::read_outcome& outcome) {
+                const bool reachable = outcome.status != platform::read_status::unavailable;
+                m_inbox.push(membership_read{reachable, parse_snapshot(outcome.entries)});
+            });
     }
     if (now >= m_next_list) {
         m_next_list = now + m_options.list_interval;
--- a/source/membership/member.cpp
+++ b/source/membership/member.cpp
@@ -195,7 +195,9 @@
 void member::offer_unknown_views(const instance_id& to, const heartbeat& body, std::vector<action>& out) const
 {
     for (const auto& [home, state] : m_views) {
-        const auto names = [&home](const view_progress& progress) { return progress.data_centre == home; };
+        const auto names = [&place = home](const view_progress& progress) {
+            return progress.data_centre == place;
+        };
         if (std::none_of(body.views.begin(), body.views.end(), names)) {
             out.push_back(send_message{to, view_offer{state.view}});
         }
--- a/source/platform/answers.cpp
+++ b/source/platform/answers.cpp
@@ -66,7 +66,7 @@
 
 read_outcome to_prefix_outcome(const http_reply& reply)
 {
-    const read_outcome unusable{read_status::unavailable, {}, detail_of(reply)};
+    read_outcome unusable{read_status::unavailable, {}, detail_of(reply)};
     const auto fields = reply.status == http_ok ? parse_object(reply) : std::nullopt;
     if (!fields || !fields->contains("entries") || !(*fields)["entries"].is_array()) {
         return unusable;
--- a/source/platform/client.cpp
+++ b/source/platform/client.cpp
@@ -212,7 +212,7 @@
                             });
 }
 
-bool client::read_prefix(std::string prefix, read_handler done)
+bool client::read_prefix(const std::string& prefix, read_handler done)
 {
     const auto path = is_valid_key(prefix) ? std::optional("/v1/kv?prefix=" + prefix) : std::nullopt;
     return m_state->enqueue(
--- a/source/platform/platform.h
+++ b/source/platform/platform.h
@@ -127,7 +127,7 @@
 
     /// Each returns false if the queue is full; the handler is not called then.
     bool read(std::string key, read_handler done);
-    bool read_prefix(std::string prefix, read_handler done);
+    bool read_prefix(const std::string& prefix, read_handler done);
     /// Writes if the key has the revision `expected`. @param lease the key vanishes with it
     bool write(std::string key, std::string value, revision expected, std::optional<lease_id> lease,
                write_handler done);
