workers: only a list that was sent after the answer to a start can show that the run is gone

A list that is asked for again at once is sent a few ms after a start that is still on its way. The worker answers it first, both answers wait in the holder's queue, and the older list is read after the start's answer: the run counted as gone, since it was sent before the list. Ruled out: two holders (both starts by one process), a stop (the first run was stopped after the second had begun). Change: lists are numbered; a run that the worker has told of must be shown by the lists that are sent after that. Test that failed first: a_list_that_may_not_have_seen_a_start_does_not_end_it (2 starts, now 1); its counterpart a_later_list_without_the_run_ends_it holds before and after.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -107,7 +107,8 @@
         time_point sent;
         time_point stop_sent;
         std::optional<time_point> stop_acknowledged;
-        bool confirmed = false;  ///< the worker has told of it
+        bool confirmed = false;         ///< the worker has told of it
+        std::uint64_t shown_since = 0;  ///< number of the first list that must show it, once confirmed
         bool stopping = false;
         bool orphan = false;  ///< of a former holder; no owner has claimed it yet
         bool overdue = false;
@@ -118,6 +119,7 @@
         bool present = false;  ///< the directory lists it
         bool listed = false;   ///< what runs there is known
         bool silent = false;
+        std::uint64_t lists = 0;        ///< sent so far; at most one is on its way
         unsigned unanswered_lists = 0;  ///< in a row
         time_point answered;            ///< any order but a list
         bool list_pending = false;
@@ -166,6 +168,8 @@
     backlog current_backlog(time_point now) const;
     std::int64_t typical_cpu() const;
     // Runs
+    /// The worker has told of a run, so lists that are sent from now on show it until it ends.
+    static void confirm(const worker& on, run& item);
     void end_run(time_point now, worker& on, const task_ref& ref, run_end how);
     void requeue(job& item, std::uint32_t number);
     void note_failure(time_point now, worker& on, const job_id& failed);
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -89,6 +89,7 @@
         order.wait = m_options.list_wait;
         on.lapse_at = std::max(on.lapse_at, now + m_options.lease + m_options.lapse_margin);
     }
+    ++on.lists;
     on.list_pending = true;
     on.ends_pending = false;
     on.list_sent = now;
@@ -112,7 +113,7 @@
     }
     run& item = found->second;
     if (reply.outcome == start_outcome::started) {
-        item.confirmed = true;
+        confirm(on, item);
         job* owner = find_job(reply.task.job);
         if (owner != nullptr && !item.stopping) {
             owner->tasks[number_of(*owner, reply.task)].state = task_state::running;
@@ -189,14 +190,14 @@
         present.insert(item.task);
         const auto found = on.runs.find(item.task);
         if (found != on.runs.end() && !(item.run < found->second.number)) {
-            found->second.confirmed = true;
+            confirm(on, found->second);
         } else if (found == on.runs.end() && !on.listed) {
             run orphan;
             orphan.task = item.task;
             orphan.number = item.run;
             orphan.need = {typical_cpu(), 0, 0};
             orphan.sent = now;
-            orphan.confirmed = true;
+            confirm(on, orphan);
             orphan.orphan = true;
             on.used = on.used.plus(orphan.need);
             on.runs.emplace(item.task, orphan);
@@ -230,7 +231,7 @@
     }
     std::vector<task_ref> gone;
     for (const auto& [ref, item] : on.runs) {
-        if (item.confirmed && !present.contains(ref) && item.sent < on.list_sent) {
+        if (item.confirmed && !present.contains(ref) && item.shown_since <= on.lists) {
             gone.push_back(ref);
         }
     }
@@ -286,6 +287,15 @@
     ++item.waiting;
 }
 
+// An answer that was on its way when the worker told of the run may be older than the run.
+void pool::confirm(const worker& on, run& item)
+{
+    if (!item.confirmed) {
+        item.confirmed = true;
+        item.shown_since = on.lists + 1;
+    }
+}
+
 void pool::end_run(time_point now, worker& on, const task_ref& ref, run_end how)
 {
     const auto found = on.runs.find(ref);
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -164,6 +164,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_orders_overtake_each_other)
+
+// A list that is sent after a start may reach the worker first, and its answer may be read after that of the
+// start. Guards against a second run of a task that such a list does not show.
+BOOST_AUTO_TEST_CASE(a_list_that_may_not_have_seen_a_start_does_not_end_it)
+{
+    pool_fixture f(2);
+    f.list(0);
+    f.list(1);
+    f.offer_job(pool_fixture::offer("j", 1));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    const start_order start = f.starts[0];
+    const std::size_t worker = start.target.worker.value() == "w0" ? 0 : 1;
+    f.get().on_list_failure(f.now(), start.target.worker, list_failure::unanswered);
+    f.pass(milliseconds(20));
+    f.get().on_start_reply(f.now(),
+                           {start.target.worker, start.task, start.run, start_outcome::started, 5000});
+    f.list(worker);
+    f.pass(milliseconds(20));
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+// Guards against a run that is waited for until its lease lapses although its worker has lost it.
+BOOST_AUTO_TEST_CASE(a_later_list_without_the_run_ends_it)
+{
+    pool_fixture f(2);
+    f.list(0);
+    f.list(1);
+    f.offer_job(pool_fixture::offer("j", 1));
+    const start_order start = f.starts.at(0);
+    const std::size_t worker = start.target.worker.value() == "w0" ? 0 : 1;
+    f.pass(milliseconds(20));
+    f.get().on_start_reply(f.now(),
+                           {start.target.worker, start.task, start.run, start_outcome::started, 5000});
+    f.list(worker);
+    f.list(worker);
+    BOOST_TEST(f.starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::workers::test
