routing: tell a lost holder to stop before its jobs start elsewhere

An owner that does not hear a holder waits until a holder that hears nothing must have stopped; but the holder heard its owner (silence in one direction), went on, and was told to drop the job at the moment of the offer elsewhere. Ruled out: two holders of one pool (two data centres); the pause of a process (no gap in either report). Change: the cancel goes 300 ms before the offer elsewhere, and the offer at least 300 ms after the cancel. Test that failed first: a_lost_holder_is_told_to_stop_before_the_job_starts_elsewhere (with a lead of 0, as before). The test a_holder_without_workers_does_not_get_it jumped over the whole wait in one step and takes two now; its bound is the same.

--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -19,6 +19,9 @@
 // is.
 constexpr int fresh_intervals = 3;
 constexpr milliseconds stale_cost{1000};
+// Time for a cancel to reach the holder (a busy one handles it within 50 ms), for an order to stop that is
+// sent twice (100 ms each), and for the worker to stop a run (50 ms).
+constexpr milliseconds cancel_lead{300};
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
     "offered", "offered_again", "offered_elsewhere", "waits_for_lapse", "answered", "caller_left"};
@@ -169,6 +172,7 @@
     item.offer.age = since(now, item.arrived);
     item.offered_at = now;
     item.lost = false;
+    item.cancelled_at.reset();
     const workers::job_demand need = demand_of(item.offer.steps);
     sent_work& sent = m_sent[chosen.holder][chosen.pool];
     sent.cpu += need.cpu;
@@ -384,12 +388,16 @@
                                               since(now, item.arrived),
                                               silence.value_or(milliseconds(0))});
     }
-    if (now < item.lost_at + m_options.lost_holder_time) {
+    // A holder that is not heard may hear this instance, and goes on with the job unless it is told. Its
+    // tasks must have been stopped before they start elsewhere.
+    if (!item.cancelled_at && now >= item.lost_at + m_options.lost_holder_time - cancel_lead) {
+        item.cancelled_at = now;
+        m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
+    }
+    if (!item.cancelled_at || now < *item.cancelled_at + cancel_lead) {
         return;
     }
     prepare_again(now, item);
-    // For a holder that was only paused.
-    m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
     if (!offer(now, item, routing_decision::offered_elsewhere)) {
         give_up(now, id, refusal_reason::owner_lost);
     }
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -113,7 +113,8 @@
         time_point offered_at;
         time_point lost_at;  ///< when the holder was last heard, while it is lost
         bool lost = false;
-        bool uncertain_known = false;  ///< the former holder has told which tasks may run
+        std::optional<time_point> cancelled_at;  ///< when the lost holder was told to drop the job
+        bool uncertain_known = false;            ///< the former holder has told which tasks may run
         std::vector<pool_id> returned_by;
     };
 
