tests: two findings of the linter

Cause: string sums in tests/integration/harness/http.cpp and tests/soak/promises.cpp. Change: append. No check changed.

--- a/tests/integration/harness/http.cpp
+++ b/tests/integration/harness/http.cpp
@@ -32,7 +32,9 @@
     const std::unique_ptr<CURL, void (*)(CURL*)> handle(curl_easy_init(), curl_easy_cleanup);
     curl_slist* lines = curl_slist_append(nullptr, "Expect:");
     for (const auto& [name, value] : options.headers) {
-        lines = curl_slist_append(lines, (name + ": " + value).c_str());
+        std::string line = name;
+        line.append(": ").append(value);
+        lines = curl_slist_append(lines, line.c_str());
     }
     const std::unique_ptr<curl_slist, void (*)(curl_slist*)> headers(lines, curl_slist_free_all);
     http_result result;
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -69,7 +69,7 @@
         for (std::uint32_t task = 0; whole && task < job.tasks; ++task) {
             const std::string name = job.id + ".0.0." + std::to_string(task);
             if (!m_world.workers().has_completed(name)) {
-                violate(subject + ": " + name + " has not ended well");
+                violate(std::string(subject).append(": ").append(name).append(" has not ended well"));
             }
         }
     } else if (attempt.status != 0 && !is_refusal(attempt.status) && attempt.status != 502 &&
