--- a/tests/stand_ins/platform_service.cpp
+++ b/tests/stand_ins/platform_service.cpp
@@ -187,7 +187,7 @@
     return text_response("unknown call", http::status::not_found);
 }
 
-platform_service::reply platform_service::call_key(const http_request& request, std::string key)
+platform_service::reply platform_service::call_key(const http_request& request, const std::string& key)
 {
     switch (request.method()) {
         case http::verb::get:
--- a/tests/stand_ins/platform_service.h
+++ b/tests/stand_ins/platform_service.h
@@ -69,7 +69,7 @@
     net::awaitable<reply> watch(std::string target);
     net::awaitable<void> expire_leases();
     reply call(const http_request& request);
-    reply call_key(const http_request& request, std::string key);
+    reply call_key(const http_request& request, const std::string& key);
     reply call_lease(const http_request& request, std::string_view path);
     http_response read(const std::string& key) const;
     http_response list(std::string_view target) const;
--- a/tests/wire/frame_fuzz.cpp
+++ b/tests/wire/frame_fuzz.cpp
@@ -1,5 +1,6 @@
 #include "wire/untrusted_input.h"
 
+// The name is libFuzzer's. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     if (size > 0) {
