workers, instance, tests: one state where two could differ, one configuration for both test deployments

Cause, from reading the whole change again: a run kept a flag beside the number of the first list that must show it, and the flag followed from the number; the directory kept the configuration and its change number apart, though it has a type for an item and its number; the soak and the end-to-end test built the same operator's configuration twice. Change: an optional number; an item; stand_ins::desk_configuration for both. No behaviour changed; assertions stay. The route of the end-to-end test is named after its prefix now, which nothing reads.

--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -61,9 +61,8 @@
     m_lapsed = m_lapsed == time_point{} ? now : m_lapsed;
     m_revision = std::max(m_revision, content.revision);
     if (content.key == m_protocol.configuration_key()) {
-        if (!content.removed && content.revision > m_configuration.revision) {
-            m_configuration = content;
-            m_configuration_changed = number(content.key, m_configuration_changed);
+        if (!content.removed && content.revision > m_configuration.content.revision) {
+            m_configuration = {content, number(content.key, m_configuration.changed)};
             m_changes.configuration = true;
         }
         return;
@@ -211,8 +210,8 @@
     for (auto place = m_changed_keys.upper_bound(push.complete ? 0 : sequence); place != m_changed_keys.end();
          ++place) {
         const std::string& key = place->second;
-        if (key == m_configuration.key) {
-            push.items.push_back({key, m_configuration.revision, m_configuration.value});
+        if (key == m_configuration.content.key) {
+            push.items.push_back({key, m_configuration.content.revision, m_configuration.content.value});
         } else if (const auto kept = m_items.find(key); kept != m_items.end()) {
             push.items.push_back({key, kept->second.content.revision, kept->second.content.value});
         } else if (!push.complete) {
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -57,7 +57,7 @@
     /// Greatest revision of an item.
     std::uint64_t revision() const { return m_revision; }
 
-    const std::string& configuration_value() const { return m_configuration.value; }
+    const std::string& configuration_value() const { return m_configuration.content.value; }
     std::vector<workers::worker_entry> workers() const;
     const own_records& own() const { return m_own; }
     bool contains(const std::string& key) const { return m_items.contains(key); }
@@ -90,8 +90,7 @@
     std::map<std::string, time_point> m_vanished;            ///< workers that a new list lacks
     std::map<std::string, item> m_removed;                   ///< for peers that ask for changes
     std::map<std::uint64_t, std::string> m_changed_keys;     ///< by the number of the last change
-    store_item m_configuration;
-    std::uint64_t m_configuration_changed = 0;
+    item m_configuration;
     change m_changes;
     std::vector<skipped_entry> m_skipped;
     std::uint64_t m_revision = 0;
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -107,8 +107,8 @@
         time_point sent;
         time_point stop_sent;
         std::optional<time_point> stop_acknowledged;
-        bool confirmed = false;         ///< the worker has told of it
-        std::uint64_t shown_since = 0;  ///< number of the first list that must show it, once confirmed
+        /// Number of the first list that must show it; nothing until the worker has told of it.
+        std::optional<std::uint64_t> shown_since;
         bool stopping = false;
         bool orphan = false;  ///< of a former holder; no owner has claimed it yet
         bool overdue = false;
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -231,7 +231,7 @@
     }
     std::vector<task_ref> gone;
     for (const auto& [ref, item] : on.runs) {
-        if (item.confirmed && !present.contains(ref) && item.shown_since <= on.lists) {
+        if (item.shown_since && !present.contains(ref) && *item.shown_since <= on.lists) {
             gone.push_back(ref);
         }
     }
@@ -290,8 +290,7 @@
 // An answer that was on its way when the worker told of the run may be older than the run.
 void pool::confirm(const worker& on, run& item)
 {
-    if (!item.confirmed) {
-        item.confirmed = true;
+    if (!item.shown_since) {
         item.shown_since = on.lists + 1;
     }
 }
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <fstream>
 
+#include "stand_ins/users_platform.h"
+
 namespace poplarshed::soak {
 
 namespace {
@@ -115,23 +117,10 @@
 
 void deployment::configure(std::uint64_t version)
 {
-    json routes = json::array();
     const std::string previous = version > 1 ? route_of(version - 1) : lasting_route;
-    for (const std::string& prefix : {lasting_route, route_of(version), previous}) {
-        routes.push_back({{"name", "r" + prefix},
-                          {"host", "desk.example"},
-                          {"prefix", prefix},
-                          {"slo_ms", 60},
-                          {"priority", 0},
-                          {"service", "desk"},
-                          {"max_attempts", 3},
-                          {"stretch", 1.6}});
-    }
     m_version = version;
-    m_store.put("op/config", {{"version", version},
-                              {"routes", routes},
-                              {"services", {{{"name", "desk"}}}},
-                              {"limits", {{"max_body_bytes", 262'144}}}});
+    m_store.put("op/config",
+                stand_ins::desk_configuration(version, {lasting_route, route_of(version), previous}));
 }
 
 void deployment::start(std::size_t index)
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -8,6 +8,25 @@
 
 }  // namespace
 
+json desk_configuration(std::uint64_t version, const std::vector<std::string>& prefixes)
+{
+    json routes = json::array();
+    for (const std::string& prefix : prefixes) {
+        routes.push_back({{"name", "r" + prefix},
+                          {"host", "desk.example"},
+                          {"prefix", prefix},
+                          {"slo_ms", 60},
+                          {"priority", 0},
+                          {"service", "desk"},
+                          {"max_attempts", 3},
+                          {"stretch", 1.6}});
+    }
+    return {{"version", version},
+            {"routes", routes},
+            {"services", {{{"name", "desk"}}}},
+            {"limits", {{"max_body_bytes", 262'144}}}};
+}
+
 users_platform::users_platform(std::size_t workers)
     : m_work(net::make_work_guard(m_io)),
       m_store(m_io),
--- a/tests/stand_ins/users_platform.h
+++ b/tests/stand_ins/users_platform.h
@@ -9,6 +9,9 @@
 
 namespace poplarshed::stand_ins {
 
+/// An operator's configuration with one route of the service "desk" for each prefix.
+json desk_configuration(std::uint64_t version, const std::vector<std::string>& prefixes);
+
 /// The users' platform on loopback: its store, and workers of one data centre, on a thread of their own.
 /// Every call may come from any thread.
 class users_platform {
--- a/tests/users_platform/end_to_end_test.cpp
+++ b/tests/users_platform/end_to_end_test.cpp
@@ -17,28 +17,12 @@
 
 constexpr milliseconds grace{3000};
 
-json configuration(std::uint64_t version, const std::string& prefix)
-{
-    return {{"version", version},
-            {"routes",
-             {{{"name", "r"},
-               {"host", "desk.example"},
-               {"prefix", prefix},
-               {"slo_ms", 60},
-               {"priority", 0},
-               {"service", "desk"},
-               {"max_attempts", 3},
-               {"stretch", 1.6}}}},
-            {"services", {{{"name", "desk"}}}},
-            {"limits", {{"max_body_bytes", 262144}}}};
-}
-
 /// Instances of one data centre on the stand-in platform.
 class deployment {
 public:
     deployment() : m_platform(4)
     {
-        m_platform.put("op/config", configuration(1, "/p/"));
+        m_platform.put("op/config", stand_ins::desk_configuration(1, {"/p/"}));
         start(0);
         start(1);
         for (std::size_t i = 0; i < 2; ++i) {
@@ -126,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(a_new_route_is_served_within_two_seconds)
 {
     deployment world;
-    world.platform().put("op/config", configuration(2, "/q/"));
+    world.platform().put("op/config", stand_ins::desk_configuration(2, {"/q/"}));
     BOOST_TEST(integration::eventually(
         [&] { return world.submit(0, "00000000000000aa", 20, 1, "/q/").status == 200; }, milliseconds(2000)));
     BOOST_TEST(world.submit(0, "00000000000000ab", 20, 1, "/p/").status == 404);
