routing, workers: let answers and cancels name their offer

Cause: a job that was offered into a cut is offered to the same holder again when the cut ends. The holder answers the first offer (another pool would end the job sooner, nothing has run), keeps the second one, and the owner takes the answer to the first for the answer to the second and offers the job to another pool. Both pools start it. Change: offers have numbers that grow, also from one life of an instance to the next; results and cancels name the number of the offer. An owner ignores an answer to an earlier offer of the job, unless it says that the job is complete, and logs it; a holder ignores a cancel of an earlier offer. The lines of both sides have the number in the field offer.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -34,6 +34,13 @@
     return options;
 }
 
+routing::router_options router_options_now()
+{
+    routing::router_options options;
+    options.first_offer = wall_microseconds();
+    return options;
+}
+
 pool_host_options pool_options_of(const settings& values)
 {
     return {values.peers, values.cpu_milli, values.longest_lease, values.stop_time, values.remote_slowdown};
@@ -64,7 +71,7 @@
       m_directory(surroundings, m_settings.name, wall_microseconds()),
       m_store({m_settings.peers, m_settings.data_centre}, surroundings, m_directory),
       m_peers(m_settings.peers, m_settings.data_centre),
-      m_router({}, m_peers, steady_clock::now()),
+      m_router(router_options_now(), m_peers, steady_clock::now()),
       m_pools(pool_options_of(m_settings), *this, steady_clock::now()),
       m_front(front_options_of(m_settings), m_inbox, [this] { return m_metrics.to_prometheus(); }),
       m_http({connections_per_host}, [this](http::call_id call, http::response response) {
@@ -277,7 +284,8 @@
                      {"worker", record.worker.value()},
                      {"detail", record.detail},
                      {"input_ms", record.input_ms},
-                     {"limit_ms", record.limit_ms}}},
+                     {"limit_ms", record.limit_ms},
+                     {"offer", static_cast<std::int64_t>(record.offer.value())}}},
                    is_routine(record));
 }
 
@@ -301,6 +309,7 @@
                    {"detail", record.detail},
                    {"input_ms", record.predicted.count()},
                    {"status_age_ms", record.information.count()},
+                   {"offer", static_cast<std::int64_t>(record.offer.value())},
                    {"configuration", static_cast<std::int64_t>(m_configuration.version)}}};
     m_log.decision(now, std::move(line), is_routine(record));
 }
--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -60,7 +60,8 @@
                                  {},
                                  {},
                                  message.may_have_run,
-                                 message.uncertain_tasks});
+                                 message.uncertain_tasks,
+                                 message.number});
     }
 }
 
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -118,7 +118,7 @@
 void pool_host::on_cancel(time_point now, const workers::job_cancel& cancel)
 {
     for (const auto& [id, pool] : m_pools) {
-        pool->on_cancel(now, cancel.owner, cancel.job);
+        pool->on_cancel(now, cancel);
     }
 }
 
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds cancel_lead{300};
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
-    "offered", "offered_again", "offered_elsewhere", "waits_for_lapse", "answered", "caller_left"};
+    "offered",  "offered_again", "offered_elsewhere", "waits_for_lapse",
+    "answered", "caller_left",   "result_ignored"};
 
 // Completed jobs have no reason.
 std::string answer_text(answer_kind kind, refusal_reason reason)
@@ -77,7 +78,10 @@
 }
 
 router::router(router_options options, const peer_table& peers, time_point started)
-    : m_options(options), m_peers(peers), m_holder_expected_until(started + options.holder_absence)
+    : m_options(options),
+      m_peers(peers),
+      m_holder_expected_until(started + options.holder_absence),
+      m_last_offer(options.first_offer)
 {}
 
 std::optional<caller_id> router::on_job(time_point now, caller_id caller, const route& target,
@@ -170,6 +174,7 @@
     item.holder = chosen.holder;
     item.offer.pool = chosen.pool;
     item.offer.age = since(now, item.arrived);
+    item.offer.number = workers::offer_number(++m_last_offer);
     item.offered_at = now;
     item.lost = false;
     item.cancelled_at.reset();
@@ -179,7 +184,7 @@
     sent.cpu_ms += need.cpu_ms;
     m_actions.emplace_back(to_holder{chosen.holder, item.offer});
     m_actions.emplace_back(routing_record{what, item.offer.job, chosen.holder, chosen.pool.value(),
-                                          chosen.predicted, chosen.information});
+                                          chosen.predicted, chosen.information, item.offer.number});
 }
 
 void router::on_status(const endpoint& holder)
@@ -226,9 +231,9 @@
     const job_id id = found->second;
     const job& item = m_jobs.at(id);
     m_actions.emplace_back(
-        routing_record{routing_decision::caller_left, id, item.holder, {}, since(now, item.arrived), {}});
+        routing_record{routing_decision::caller_left, id, item.holder, {}, since(now, item.arrived), {}, {}});
     if (!item.holder.empty()) {
-        m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
+        m_actions.emplace_back(to_holder{item.holder, cancel_of(item)});
     }
     m_jobs.erase(id);
     m_callers.erase(found);
@@ -253,12 +258,20 @@
     job& item = found->second;
     if (result.end == workers::job_end::completed) {
         if (item.holder != from && !item.holder.empty()) {
-            m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{result.job, m_peers.self()}});
+            m_actions.emplace_back(to_holder{item.holder, cancel_of(item)});
         }
         answer(now, result.job, answer_kind::completed, result.reason, {});
         return;
     }
-    if (item.holder != from) {
+    // An answer that was held up may be to an earlier offer of the job, also to the same holder.
+    if (item.holder != from || item.offer.number != result.number) {
+        m_actions.emplace_back(routing_record{routing_decision::result_ignored,
+                                              result.job,
+                                              from,
+                                              std::string(to_string(result.end)),
+                                              since(now, item.arrived),
+                                              {},
+                                              result.number});
         return;
     }
     switch (result.end) {
@@ -331,11 +344,16 @@
 {
     const job& item = m_jobs.at(id);
     if (!item.holder.empty()) {
-        m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
+        m_actions.emplace_back(to_holder{item.holder, cancel_of(item)});
     }
     answer(now, id, answer_kind::unknown_end, reason, {});
 }
 
+workers::job_cancel router::cancel_of(const job& item) const
+{
+    return {item.offer.job, m_peers.self(), item.offer.number};
+}
+
 void router::answer(time_point now, const job_id& id, answer_kind kind, refusal_reason reason,
                     milliseconds retry_after)
 {
@@ -344,7 +362,7 @@
     m_actions.emplace_back(answer_caller{found->second.caller, id, kind, reason, retry_after,
                                          found->second.offer.service, waited});
     m_actions.emplace_back(routing_record{
-        routing_decision::answered, id, found->second.holder, answer_text(kind, reason), waited, {}});
+        routing_decision::answered, id, found->second.holder, answer_text(kind, reason), waited, {}, {}});
     m_callers.erase(found->second.caller);
     m_jobs.erase(found);
 }
@@ -386,13 +404,14 @@
                                               item.holder,
                                               {},
                                               since(now, item.arrived),
-                                              silence.value_or(milliseconds(0))});
+                                              silence.value_or(milliseconds(0)),
+                                              item.offer.number});
     }
     // A holder that is not heard may hear this instance, and goes on with the job unless it is told. Its
     // tasks must have been stopped before they start elsewhere.
     if (!item.cancelled_at && now >= item.lost_at + m_options.lost_holder_time - cancel_lead) {
         item.cancelled_at = now;
-        m_actions.emplace_back(to_holder{item.holder, workers::job_cancel{id, m_peers.self()}});
+        m_actions.emplace_back(to_holder{item.holder, cancel_of(item)});
     }
     if (!item.cancelled_at || now < *item.cancelled_at + cancel_lead) {
         return;
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -48,8 +48,9 @@
     waits_for_lapse,  ///< the holder is lost; its runs must have ended before the job can start elsewhere
     answered,
     caller_left,
+    result_ignored,  ///< the answer to an earlier offer
 };
-inline constexpr std::size_t routing_decision_count = 6;
+inline constexpr std::size_t routing_decision_count = 7;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(routing_decision value);
@@ -61,6 +62,7 @@
     std::string detail;
     milliseconds predicted{};    ///< expected finish
     milliseconds information{};  ///< age of the holder's status
+    workers::offer_number offer{};
 };
 
 /// True for what happens to every job that ends well, false for what explains a failed one.
@@ -76,6 +78,8 @@
     /// While no pool has had a holder for longer, requests are refused at once. A start or takeover takes
     /// less.
     milliseconds holder_absence{2500};
+    std::uint64_t first_offer =
+        1;  ///< offer numbers start here; grows from one life of the instance to the next
 };
 
 /// Owns the jobs of this instance's callers: chooses a pool for each, follows holders, and answers once.
@@ -132,6 +136,7 @@
                 milliseconds retry_after);
     void wait_for_holder(time_point now, const job_id& id);
     void on_not_held(time_point now, const workers::job_result& result);
+    workers::job_cancel cancel_of(const job& item) const;
     /// Before another offer: which tasks the former holder may have started.
     void prepare_again(time_point now, job& item) const;
     void give_up(time_point now, const job_id& id, refusal_reason reason);
@@ -140,6 +145,7 @@
     router_options m_options;
     const peer_table& m_peers;
     time_point m_holder_expected_until;
+    std::uint64_t m_last_offer;
     std::unordered_map<job_id, job> m_jobs;
     std::unordered_map<caller_id, job_id> m_callers;
     struct sent_work {
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -91,7 +91,7 @@
     return fb::Createpool_offer(out, job, pool, service, payload, steps, value.priority, value.max_attempts,
                                 value.age.count(), value.objective.count(), value.deadline.count(),
                                 value.returns, value.may_have_run, done, owner, uncertain,
-                                value.uncertain_for.count());
+                                value.uncertain_for.count(), value.number.value());
 }
 
 std::optional<workers::job_offer> unpack(const fb::pool_offer& table)
@@ -113,6 +113,7 @@
     value.done_tasks = numbers(table.done_tasks());
     value.uncertain_tasks = numbers(table.uncertain_tasks());
     value.uncertain_for = milliseconds(table.uncertain_for_ms());
+    value.number = workers::offer_number(table.number());
     return valid(value.steps) ? std::optional(std::move(value)) : std::nullopt;
 }
 
@@ -133,7 +134,8 @@
     const auto holder = pack(out, value.holder);
     return fb::Createpool_result(out, job, static_cast<std::uint8_t>(value.end),
                                  static_cast<std::uint8_t>(value.reason), value.retry_after.count(), holder,
-                                 value.may_have_run, out.CreateVector(value.uncertain_tasks));
+                                 value.may_have_run, out.CreateVector(value.uncertain_tasks),
+                                 value.number.value());
 }
 
 std::optional<workers::job_result> unpack(const fb::pool_result& table)
@@ -141,24 +143,23 @@
     if (table.end() >= workers::job_end_count || table.reason() >= all_refusal_reasons().size()) {
         return std::nullopt;
     }
-    return workers::job_result{workers::job_id(table.job()->str()),
-                               endpoint(table.holder()->str()),
-                               static_cast<workers::job_end>(table.end()),
-                               all_refusal_reasons()[table.reason()],
-                               milliseconds(table.retry_after_ms()),
-                               table.may_have_run(),
-                               numbers(table.uncertain_tasks())};
+    return workers::job_result{
+        workers::job_id(table.job()->str()),        endpoint(table.holder()->str()),
+        static_cast<workers::job_end>(table.end()), all_refusal_reasons()[table.reason()],
+        milliseconds(table.retry_after_ms()),       table.may_have_run(),
+        numbers(table.uncertain_tasks()),           workers::offer_number(table.number())};
 }
 
 flatbuffers::Offset<fb::pool_cancel> pack(builder& out, const workers::job_cancel& value)
 {
     const auto job = pack(out, value.job);
-    return fb::Createpool_cancel(out, job, pack(out, value.owner));
+    return fb::Createpool_cancel(out, job, pack(out, value.owner), value.number.value());
 }
 
 std::optional<workers::job_cancel> unpack(const fb::pool_cancel& table)
 {
-    return workers::job_cancel{workers::job_id(table.job()->str()), endpoint(table.owner()->str())};
+    return workers::job_cancel{workers::job_id(table.job()->str()), endpoint(table.owner()->str()),
+                               workers::offer_number(table.number())};
 }
 
 flatbuffers::Offset<fb::instance_status> pack(builder& out, const workers::instance_status& value)
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -46,7 +46,7 @@
     /// @param complete no worker is missing because the directory was away
     void on_completeness(bool complete) { m_complete = complete; }
     void on_offer(time_point now, const endpoint& owner, job_offer offer);
-    void on_cancel(time_point now, const endpoint& owner, const job_id& id);
+    void on_cancel(time_point now, const job_cancel& cancel);
     /// An instance is silent; its callers have lost their connections.
     void on_owner_lost(time_point now, const endpoint& owner);
     void on_start_reply(time_point now, const start_reply& reply);
@@ -146,6 +146,8 @@
     void adopt(time_point now, job& item);
     void finish_if_done(time_point now, const job_id& id);
     bool admit(time_point now, job& item);
+    /// The answer to the offer under which a job is here.
+    job_result answer_to(const job& item, job_end end) const;
     void finish_job(time_point now, const job_id& id, job_result result);
     void drop_job(time_point now, const job_id& id, std::string_view cause);
     void stop_tasks(time_point now, const job& item);
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -55,8 +55,12 @@
 void pool::on_offer(time_point now, const endpoint& owner, job_offer offer)
 {
     if (job* known = find_job(offer.job)) {
-        // The caller has sent the job again through another instance; the runs go on for the new owner.
-        known->owner = owner;
+        // The job was offered again, or the caller has sent it again through another instance. The runs go on
+        // under the new offer; an earlier one that was held up changes nothing.
+        if (known->owner != owner || known->offer.number < offer.number) {
+            known->owner = owner;
+            known->offer.number = offer.number;
+        }
         return;
     }
     auto created = std::make_unique<job>();
@@ -137,7 +141,7 @@
 {
     const job* item = find_job(id);
     if (item != nullptr && item->done == item->tasks.size()) {
-        finish_job(now, id, {id, m_options.self, job_end::completed, {}, {}, true, {}});
+        finish_job(now, id, answer_to(*item, job_end::completed));
     }
 }
 
@@ -165,8 +169,7 @@
             if (there && *there + worthwhile_gain < *predicted) {
                 record(decision::returned_to_owner, item.offer.job, {}, other.pool.value(), *predicted,
                        *there);
-                tell(item.owner,
-                     job_result{item.offer.job, m_options.self, job_end::returned, {}, {}, false, {}});
+                tell(item.owner, answer_to(item, job_end::returned));
                 return false;
             }
         }
@@ -186,8 +189,10 @@
     const bool no_worker = reason == refusal_reason::no_runners;
     record(no_worker ? decision::refused_no_worker : decision::refused_too_late, item.offer.job, {},
            std::string(to_string(reason)), predicted, since(item.useful_until, now));
-    tell(item.owner,
-         job_result{item.offer.job, m_options.self, job_end::refused, reason, retry_after, false, {}});
+    job_result result = answer_to(item, job_end::refused);
+    result.reason = reason;
+    result.retry_after = retry_after;
+    tell(item.owner, std::move(result));
 }
 
 // Load pattern: a burst of urgent jobs after others were admitted. Those that cannot be in time any more and
@@ -212,8 +217,9 @@
     for (const job_id& id : hopeless) {
         const job& item = *find_job(id);
         if (item.started) {
-            finish_job(now, id,
-                       {id, m_options.self, job_end::gave_up, refusal_reason::timed_out, {}, true, {}});
+            job_result result = answer_to(item, job_end::gave_up);
+            result.reason = refusal_reason::timed_out;
+            finish_job(now, id, std::move(result));
             continue;
         }
         refuse(now, item, refusal_reason::deadline_unreachable, least_retry_after, {});
@@ -247,11 +253,22 @@
     }
     for (const job_id& id : moved) {
         record(decision::returned_to_owner, id, {}, "another pool has room");
-        tell(find_job(id)->owner, job_result{id, m_options.self, job_end::returned, {}, {}, false, {}});
+        tell(find_job(id)->owner, answer_to(*find_job(id), job_end::returned));
         m_jobs.erase(id);
     }
 }
 
+job_result pool::answer_to(const job& item, job_end end) const
+{
+    job_result result;
+    result.job = item.offer.job;
+    result.holder = m_options.self;
+    result.end = end;
+    result.may_have_run = item.started;
+    result.number = item.offer.number;
+    return result;
+}
+
 void pool::finish_job(time_point now, const job_id& id, job_result result)
 {
     const job* item = find_job(id);
@@ -276,7 +293,7 @@
 void pool::hand_over()
 {
     for (const auto& [id, item] : m_jobs) {
-        job_result result{id, m_options.self, job_end::not_held, {}, {}, item->started, {}};
+        job_result result = answer_to(*item, job_end::not_held);
         for (std::uint32_t number = 0; number < item->tasks.size(); ++number) {
             const task_state state = item->tasks[number].state;
             const bool open = state == task_state::waiting && item->uncertain.contains(number);
@@ -304,11 +321,11 @@
     }
 }
 
-void pool::on_cancel(time_point now, const endpoint& owner, const job_id& id)
+void pool::on_cancel(time_point now, const job_cancel& cancel)
 {
-    const job* item = find_job(id);
-    if (item != nullptr && item->owner == owner) {
-        drop_job(now, id, "cancelled");
+    const job* item = find_job(cancel.job);
+    if (item != nullptr && item->owner == cancel.owner && !(cancel.number < item->offer.number)) {
+        drop_job(now, cancel.job, "cancelled");
         schedule(now);
     }
 }
@@ -334,8 +351,9 @@
 void pool::record(decision what, const job_id& subject, const worker_id& on, std::string detail,
                   milliseconds input, milliseconds limit)
 {
-    m_actions.emplace_back(
-        decision_record{what, subject, on, std::move(detail), input.count(), limit.count()});
+    const job* item = find_job(subject);
+    m_actions.emplace_back(decision_record{what, subject, on, std::move(detail), input.count(), limit.count(),
+                                           item == nullptr ? offer_number() : item->offer.number});
 }
 
 void pool::tell(const endpoint& owner, owner_message message)
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -339,9 +339,9 @@
         one.avoid = on.entry.id;
         if (++one.failures >= item->offer.max_attempts) {
             one.state = task_state::waiting;
-            finish_job(
-                now, ref.job,
-                {ref.job, m_options.self, job_end::failed, refusal_reason::attempts_exhausted, {}, true, {}});
+            job_result result = answer_to(*item, job_end::failed);
+            result.reason = refusal_reason::attempts_exhausted;
+            finish_job(now, ref.job, std::move(result));
             return;
         }
     } else if (ended.overdue) {
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -18,6 +18,8 @@
 using pool_id = text_id<struct pool_id_tag>;
 /// Number of a start of a task; grows with each start.
 using run_number = number_id<struct run_number_tag>;
+/// Numbers the offers of an instance; grows with each offer, also from one life of the instance to the next.
+using offer_number = number_id<struct offer_number_tag>;
 /// Workers ignore orders below the highest token that they have seen.
 using fencing_token = number_id<struct fencing_token_tag>;
 
@@ -89,6 +91,7 @@
     std::vector<std::uint32_t> uncertain_tasks;  ///< global numbers of those that it may have started
     milliseconds uncertain_for{};  ///< after this time their runs have ended, unless a worker lists them
     std::vector<std::uint32_t> done_tasks;  ///< global task numbers that are known to be done
+    offer_number number{};                  ///< of this offer; a job that is offered again gets a new one
 
     bool operator==(const job_offer&) const = default;
 };
@@ -120,6 +123,7 @@
     milliseconds retry_after{};                              ///< where refused; 0 for none
     bool may_have_run = true;                                ///< where not_held: a start was sent
     std::vector<std::uint32_t> uncertain_tasks;              ///< where not_held: tasks that may run
+    offer_number number{};                                   ///< of the offer that it answers
 
     bool operator==(const job_result&) const = default;
 };
@@ -128,6 +132,7 @@
 struct job_cancel {
     job_id job;
     endpoint owner;
+    offer_number number{};  ///< ends this offer and earlier ones, not a later one
 
     bool operator==(const job_cancel&) const = default;
 };
@@ -343,6 +348,7 @@
     std::string detail;         ///< outcome or cause
     std::int64_t input_ms = 0;  ///< the time that decided: predicted finish, elapsed run, silence
     std::int64_t limit_ms = 0;  ///< what it was compared with
+    offer_number offer{};       ///< under which the job is here
 };
 
 /// True for what happens to every job that ends well, false for what explains a failed one.
--- a/tests/routing/job_moves_test.cpp
+++ b/tests/routing/job_moves_test.cpp
@@ -97,7 +97,7 @@
             if (const auto* offer = std::get_if<workers::job_offer>(&message)) {
                 holder->on_offer(now, endpoint("owner"), *offer);
             } else {
-                holder->on_cancel(now, endpoint("owner"), job_id("j"));
+                holder->on_cancel(now, std::get<workers::job_cancel>(message));
             }
         }
         for (const workers::to_owner& item : all<workers::to_owner>(holder->take_actions())) {
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -30,7 +30,7 @@
         job.steps[0].estimate = milliseconds(900);
         job.time_limit = milliseconds(4000);
         core.on_job(now, caller, target, job);
-        return core.take_actions();
+        return take();
     }
 
     std::vector<routing_action> answer(const std::string& from, const std::string& id, workers::job_end end,
@@ -43,20 +43,33 @@
         result.reason = refusal_reason::deadline_unreachable;
         result.retry_after = milliseconds(200);
         result.may_have_run = may_have_run;
+        result.number = last_offers[result.job];
         core.on_result(now, endpoint(from), result);
-        return core.take_actions();
+        return take();
     }
 
     std::vector<routing_action> pass(milliseconds time)
     {
         now += time;
         core.on_tick(now);
-        return core.take_actions();
+        return take();
+    }
+
+    std::vector<routing_action> take()
+    {
+        std::vector<routing_action> actions = core.take_actions();
+        for (const to_holder& item : all<to_holder>(actions)) {
+            if (const auto* offer = std::get_if<workers::job_offer>(&item.message)) {
+                last_offers[offer->job] = offer->number;
+            }
+        }
+        return actions;
     }
 
     time_point now{seconds(100)};
     peer_table peers;
     router core;
+    std::map<job_id, workers::offer_number> last_offers;
 };
 
 std::vector<workers::job_offer> offers(const std::vector<routing_action>& actions, const std::string& to)
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -44,6 +44,7 @@
 {
     using namespace workers;
     job_offer offer;
+    offer.number = offer_number(8);
     offer.job = job_id("5c0e7a21d94b36f8");
     offer.owner = endpoint("127.0.0.1:1");
     offer.pool = pool_id("ollur/desk/0");
@@ -71,8 +72,9 @@
                    refusal_reason::timed_out,
                    milliseconds(8),
                    false,
-                   {1}},
-        job_cancel{offer.job, endpoint("127.0.0.1:3")},
+                   {1},
+                   offer_number(9)},
+        job_cancel{offer.job, endpoint("127.0.0.1:3"), offer_number(10)},
         instance_status{endpoint("127.0.0.1:4"),
                         data_centre_id("ollur"),
                         250,
