routing, workers: number offers in force and let them expire

What callers saw: two runs of a task at the same time after a cut between instances that ends before its connections do (0.6 to 1.9 s). Cause: an offer that was written into the cut arrives when it ends. Its holder takes it for new and starts it, while the owner has waited 1,990 ms since it last heard the holder and has given the job to another pool. Nothing bounded how old a message of an owner may be; a status that was held up counted as news when it arrived; and a run whose stop was not acknowledged lived on with the lease of its worker. Ruled out: clocks of the instances against each other (none is compared); a number on offers alone (the holder has seen no other number). Change: statuses carry the sender's clock; offers and statuses of an owner repeat the receiver's clock as the owner had it last, and statuses list the offers in force there. A holder acts on an offer for 840 ms of its own clock from the repeated reading, gives the job back after that, and drops what the owner does not list any more. No lease reaches further than 300 ms beyond the grants of what runs on the worker; runs of a former holder that no owner has claimed are not renewed. The owner counts its wait from the last time that it heard the holder before it told it of the job.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -191,6 +191,11 @@
 
 void daemon::send_to_owner(time_point now, const endpoint& owner, workers::owner_message message)
 {
+    const auto* result = std::get_if<workers::job_result>(&message);
+    if (result != nullptr && result->end == workers::job_end::not_held) {
+        // The offer may have expired since the owner has an old reading of this instance's clock.
+        relate(now, owner);
+    }
     std::visit([&](auto& item) { send(now, owner, std::move(item)); }, message);
 }
 
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -77,6 +77,7 @@
     workers::instance_status refresh_own_status(time_point now);
     void send_status(time_point now, const routing::due_status& due, const workers::instance_status& own);
     void relate(time_point now, const endpoint& holder);
+    void take_offers_in_force(time_point now, const workers::instance_status& status);
     void decide_ownership(time_point now);
     void update_directory(time_point now);
     void follow_directory(time_point now);
--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -48,6 +48,12 @@
     }
     m_peers.on_status(now, message);
     m_router.on_status(message.address);
+    take_offers_in_force(now, message);
+}
+
+void daemon::take_offers_in_force(time_point now, const workers::instance_status& status)
+{
+    m_pools.on_offers_in_force(now, {status.address, status.echo, status.offers, status.last_offer});
 }
 
 void daemon::receive(time_point now, workers::job_offer& message)
@@ -135,6 +141,7 @@
     status.configuration_version = m_configuration.version;
     status.directory_sequence = m_directory.sequence();
     status.pools = m_pools.loads(now);
+    status.clock = workers::clock_reading(now);
     return status;
 }
 
@@ -144,6 +151,9 @@
     m_peers.on_status(now, status);
     m_router.on_status(status.address);
     m_pools.on_other_pools(m_peers, now);
+    workers::instance_status to_self = status;
+    m_router.add_offers_in_force(now, m_settings.peers, to_self);
+    take_offers_in_force(now, to_self);
     return status;
 }
 
@@ -174,6 +184,7 @@
 {
     workers::instance_status status = own;
     status.next = due.interval;
+    m_router.add_offers_in_force(now, due.to, status);
     m_schedule.on_sent(now, due);
     m_network->send(due.to, std::move(status));
 }
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -122,6 +122,13 @@
     }
 }
 
+void pool_host::on_offers_in_force(time_point now, const workers::offers_in_force& offers)
+{
+    for (const auto& [id, pool] : m_pools) {
+        pool->on_offers_in_force(now, offers);
+    }
+}
+
 void pool_host::on_owner_lost(time_point now, const endpoint& owner)
 {
     for (const auto& [id, pool] : m_pools) {
--- a/source/instance/pool_host.h
+++ b/source/instance/pool_host.h
@@ -67,6 +67,7 @@
     /// @returns false if the pool is not held here
     bool on_offer(time_point now, workers::job_offer& offer);
     void on_cancel(time_point now, const workers::job_cancel& cancel);
+    void on_offers_in_force(time_point now, const workers::offers_in_force& offers);
     void on_owner_lost(time_point now, const endpoint& owner);
     /// This process did not run for a while: leases have lapsed and other instances may hold its pools.
     void on_pause(time_point now);
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -47,6 +47,12 @@
     return found != m_peers.end() && found->second.is_live(now);
 }
 
+milliseconds peer_table::clock(const endpoint& address) const
+{
+    const auto found = m_peers.find(address);
+    return found == m_peers.end() ? milliseconds(0) : found->second.status.clock;
+}
+
 std::optional<milliseconds> peer_table::silence(time_point now, const endpoint& address) const
 {
     const auto found = m_peers.find(address);
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -19,6 +19,7 @@
 inline constexpr milliseconds tolerated_silence{540};
 /// Longest silence after which an instance that shares a job counts as down.
 inline constexpr milliseconds related_silence_limit = related_interval + tolerated_silence;
+static_assert(workers::offer_validity >= related_silence_limit + related_interval);
 /// A peer that was heard in this time is expected to be there, for the count of those that should be heard.
 inline constexpr milliseconds remembered_time{30'000};
 
@@ -49,6 +50,8 @@
     std::vector<endpoint> newly_silent(time_point now);
 
     bool is_live(time_point now, const endpoint& address) const;
+    /// Clock of a peer in its last status; 0 for an unknown peer.
+    milliseconds clock(const endpoint& address) const;
     /// Time since the last status; nothing for an unknown peer.
     std::optional<milliseconds> silence(time_point now, const endpoint& address) const;
     /// Live instances that are not leaving, this one excluded.
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -175,7 +175,9 @@
     item.offer.pool = chosen.pool;
     item.offer.age = since(now, item.arrived);
     item.offer.number = workers::offer_number(++m_last_offer);
+    item.offer.echo = m_peers.clock(item.holder);
     item.offered_at = now;
+    note_grant(now, item);
     item.lost = false;
     item.cancelled_at.reset();
     const workers::job_demand need = demand_of(item.offer.steps);
@@ -187,6 +189,33 @@
                                           chosen.predicted, chosen.information, item.offer.number});
 }
 
+bool router::holds_pool(time_point now, const job& item) const
+{
+    endpoint holder;
+    return m_peers.holder(now, item.offer.pool, holder) != nullptr && holder == item.holder;
+}
+
+void router::note_grant(time_point now, job& item) const
+{
+    const milliseconds silence = m_peers.silence(now, item.holder).value_or(milliseconds(0));
+    item.granted_at = std::max(item.granted_at, now - silence);
+}
+
+// A lost holder that is heard again without the pool must not keep the job: it is about to start elsewhere.
+void router::add_offers_in_force(time_point now, const endpoint& to, workers::instance_status& status)
+{
+    status.echo = m_peers.clock(to);
+    status.offers.clear();
+    status.last_offer = workers::offer_number(m_last_offer);
+    for (auto& [id, item] : m_jobs) {
+        if (item.holder == to && (!item.lost || !m_peers.is_live(now, to) || holds_pool(now, item))) {
+            note_grant(now, item);
+            status.offers.push_back(item.offer.number);
+        }
+    }
+    std::sort(status.offers.begin(), status.offers.end());
+}
+
 void router::on_status(const endpoint& holder)
 {
     m_sent.erase(holder);
@@ -323,7 +352,7 @@
 {
     item.offer.may_have_run = true;
     item.offer.uncertain_for =
-        std::max(milliseconds(0), m_options.lost_holder_time - since(now, item.lost_at));
+        std::max(milliseconds(0), m_options.lost_holder_time - since(now, item.granted_at));
     if (std::exchange(item.uncertain_known, false)) {
         return;
     }
@@ -409,7 +438,7 @@
     }
     // A holder that is not heard may hear this instance, and goes on with the job unless it is told. Its
     // tasks must have been stopped before they start elsewhere.
-    if (!item.cancelled_at && now >= item.lost_at + m_options.lost_holder_time - cancel_lead) {
+    if (!item.cancelled_at && now >= item.granted_at + m_options.lost_holder_time - cancel_lead) {
         item.cancelled_at = now;
         m_actions.emplace_back(to_holder{item.holder, cancel_of(item)});
     }
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -71,10 +71,8 @@
 using routing_action = std::variant<to_holder, answer_caller, routing_record>;
 
 struct router_options {
-    /// A holder that hears nothing of this instance stops its jobs after related_silence_limit; what runs on
-    /// workers that it cannot reach ends with the lease. After both, and the time of the messages, nothing of
-    /// a job runs in the pool.
-    milliseconds lost_holder_time = related_silence_limit + milliseconds(1000 + 120 + 180);
+    /// After this time without news of a holder nothing of its jobs runs in the pool.
+    milliseconds lost_holder_time = workers::grant_end;
     /// While no pool has had a holder for longer, requests are refused at once. A start or takeover takes
     /// less.
     milliseconds holder_absence{2500};
@@ -103,6 +101,8 @@
     /// A status has arrived; offers sent before it are part of its figures.
     void on_status(const endpoint& holder);
     std::size_t job_count() const { return m_jobs.size(); }
+    /// Writes into a status what its receiver may act on.
+    void add_offers_in_force(time_point now, const endpoint& to, workers::instance_status& status);
     /// Adds the instances that have jobs of this one.
     void add_holders(std::set<endpoint>& holders) const;
     std::vector<routing_action> take_actions();
@@ -115,6 +115,8 @@
         time_point deadline_at;
         endpoint holder;  ///< empty while no pool has the job
         time_point offered_at;
+        /// When the holder had last been heard as it was told, in an offer or a status, that it has the job.
+        time_point granted_at;
         time_point lost_at;  ///< when the holder was last heard, while it is lost
         bool lost = false;
         std::optional<time_point> cancelled_at;  ///< when the lost holder was told to drop the job
@@ -141,6 +143,9 @@
     void prepare_again(time_point now, job& item) const;
     void give_up(time_point now, const job_id& id, refusal_reason reason);
     void follow_holder(time_point now, const job_id& id);
+    bool holds_pool(time_point now, const job& item) const;
+    /// Notes that a message tells the holder of the job.
+    void note_grant(time_point now, job& item) const;
 
     router_options m_options;
     const peer_table& m_peers;
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -91,7 +91,7 @@
     return fb::Createpool_offer(out, job, pool, service, payload, steps, value.priority, value.max_attempts,
                                 value.age.count(), value.objective.count(), value.deadline.count(),
                                 value.returns, value.may_have_run, done, owner, uncertain,
-                                value.uncertain_for.count(), value.number.value());
+                                value.uncertain_for.count(), value.number.value(), value.echo.count());
 }
 
 std::optional<workers::job_offer> unpack(const fb::pool_offer& table)
@@ -114,6 +114,7 @@
     value.uncertain_tasks = numbers(table.uncertain_tasks());
     value.uncertain_for = milliseconds(table.uncertain_for_ms());
     value.number = workers::offer_number(table.number());
+    value.echo = milliseconds(table.echo_ms());
     return valid(value.steps) ? std::optional(std::move(value)) : std::nullopt;
 }
 
@@ -167,13 +168,25 @@
     const auto address = pack(out, value.address);
     const auto data_centre = pack(out, value.data_centre);
     const auto pools = pack_each(out, value.pools, [&out](const auto& item) { return pack(out, item); });
-    return fb::Createinstance_status(out, address, data_centre, value.leaving, value.directory_current,
-                                     value.configuration_version, value.directory_sequence, pools,
-                                     value.cpu_milli, value.next.count(), value.directory_source);
+    std::vector<std::uint64_t> offers;
+    offers.reserve(value.offers.size());
+    for (const workers::offer_number& number : value.offers) {
+        offers.push_back(number.value());
+    }
+    return fb::Createinstance_status(
+        out, address, data_centre, value.leaving, value.directory_current, value.configuration_version,
+        value.directory_sequence, pools, value.cpu_milli, value.next.count(), value.directory_source,
+        value.clock.count(), value.echo.count(), out.CreateVector(offers), value.last_offer.value());
 }
 
 std::optional<workers::instance_status> unpack(const fb::instance_status& table)
 {
+    std::vector<workers::offer_number> offers;
+    if (table.offers() != nullptr) {
+        for (const std::uint64_t number : *table.offers()) {
+            offers.emplace_back(number);
+        }
+    }
     return workers::instance_status{
         endpoint(table.address()->str()),
         data_centre_id(table.data_centre()->str()),
@@ -184,7 +197,11 @@
         table.directory_sequence(),
         unpack_each(*table.pools(), [](const auto& item) { return unpack(item); }),
         milliseconds(table.next_ms()),
-        table.directory_source()};
+        table.directory_source(),
+        milliseconds(table.clock_ms()),
+        milliseconds(table.echo_ms()),
+        std::move(offers),
+        workers::offer_number(table.last_offer())};
 }
 
 flatbuffers::Offset<fb::directory_pull> pack(builder& out, const workers::directory_pull& value)
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "workers/grant.h"
 #include "workers/policy.h"
 #include "workers/speed.h"
 #include "workers/types.h"
@@ -27,8 +28,6 @@
     milliseconds lapse_margin{120};
     /// Time that a worker takes to stop a run after its answer to the order.
     milliseconds stop_time{50};
-    /// Runs of a former holder are stopped if no owner has claimed them by then.
-    milliseconds adoption_time{600};
     double remote_slowdown = 3;  ///< of a task that runs away from its data
 };
 
@@ -47,6 +46,8 @@
     void on_completeness(bool complete) { m_complete = complete; }
     void on_offer(time_point now, const endpoint& owner, job_offer offer);
     void on_cancel(time_point now, const job_cancel& cancel);
+    /// Prolongs the grants of an owner's jobs, and drops those that the owner has withdrawn.
+    void on_offers_in_force(time_point now, const offers_in_force& offers);
     /// An instance is silent; its callers have lost their connections.
     void on_owner_lost(time_point now, const endpoint& owner);
     void on_start_reply(time_point now, const start_reply& reply);
@@ -88,6 +89,7 @@
         time_point objective_at;
         time_point useful_until;
         time_point deadline_at;
+        time_point granted_until;  ///< the owner may give the job to another pool some time after
         std::vector<task> tasks;
         std::vector<std::uint32_t> first_task;  ///< global number of each step's first task
         std::vector<std::uint32_t> step_left;   ///< tasks of each step that are not done
@@ -109,6 +111,8 @@
         std::optional<time_point> stop_acknowledged;
         /// Number of the first list that must show it; nothing until the worker has told of it.
         std::optional<std::uint64_t> shown_since;
+        /// Where no job is here for the run: leases on its worker do not reach beyond it.
+        std::optional<time_point> limit;
         bool stopping = false;
         bool orphan = false;  ///< of a former holder; no owner has claimed it yet
         bool overdue = false;
@@ -150,6 +154,10 @@
     job_result answer_to(const job& item, job_end end) const;
     void finish_job(time_point now, const job_id& id, job_result result);
     void drop_job(time_point now, const job_id& id, std::string_view cause);
+    /// Jobs whose owner has not been heard in time.
+    void end_grants(time_point now);
+    /// Tells the owner that the job is given up here, and which tasks may run.
+    job_result not_held_answer(const job& item) const;
     void stop_tasks(time_point now, const job& item);
     void refuse_hopeless(time_point now);
     void return_surplus(time_point now);
@@ -179,6 +187,8 @@
     void check_runs(time_point now, worker& on);
     // Workers
     void send_list(time_point now, worker& on);
+    /// Time by which what runs on a worker must have ended, unless an owner renews its grant.
+    time_point lease_limit(const worker& on) const;
     void lapse_all(time_point now, worker& on, std::string_view cause);
     void note_clock(time_point now, worker& on, std::int64_t clock_ms);
     std::int64_t worker_time(time_point at, const worker& on) const;
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -54,12 +54,27 @@
 
 void pool::on_offer(time_point now, const endpoint& owner, job_offer offer)
 {
+    const auto granted = granted_until(now, offer.echo);
+    if (!granted) {
+        record(decision::offer_expired, offer.job, {}, owner.value(), clock_reading(now) - offer.echo,
+               offer_validity);
+        tell(owner, job_result{offer.job,
+                               m_options.self,
+                               job_end::not_held,
+                               {},
+                               {},
+                               offer.may_have_run,
+                               offer.uncertain_tasks,
+                               offer.number});
+        return;
+    }
     if (job* known = find_job(offer.job)) {
         // The job was offered again, or the caller has sent it again through another instance. The runs go on
         // under the new offer; an earlier one that was held up changes nothing.
         if (known->owner != owner || known->offer.number < offer.number) {
             known->owner = owner;
             known->offer.number = offer.number;
+            known->granted_until = *granted;
         }
         return;
     }
@@ -69,6 +84,7 @@
     item.arrived = now - offer.age;
     item.objective_at = item.arrived + offer.objective;
     item.deadline_at = item.arrived + offer.deadline;
+    item.granted_until = *granted;
     item.useful_until = std::min(item.arrived + offer.objective * late_multiple, item.deadline_at);
     for (const job_step& step : offer.steps) {
         item.first_task.push_back(static_cast<std::uint32_t>(item.tasks.size()));
@@ -125,6 +141,7 @@
                 continue;
             }
             running.orphan = false;
+            running.limit.reset();
             item.uncertain.erase(number);
             running.estimate = step_of(item, number).estimate;
             running.expected = expected_on(now, on, step_of(item, number));
@@ -290,32 +307,77 @@
     m_jobs.erase(id);
 }
 
+job_result pool::not_held_answer(const job& item) const
+{
+    job_result result = answer_to(item, job_end::not_held);
+    for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
+        const task_state state = item.tasks[number].state;
+        const bool open = state == task_state::waiting && item.uncertain.contains(number);
+        if (open || (state != task_state::waiting && state != task_state::done)) {
+            result.uncertain_tasks.push_back(number);
+        }
+    }
+    return result;
+}
+
 void pool::hand_over()
 {
     for (const auto& [id, item] : m_jobs) {
-        job_result result = answer_to(*item, job_end::not_held);
-        for (std::uint32_t number = 0; number < item->tasks.size(); ++number) {
-            const task_state state = item->tasks[number].state;
-            const bool open = state == task_state::waiting && item->uncertain.contains(number);
-            if (open || (state != task_state::waiting && state != task_state::done)) {
-                result.uncertain_tasks.push_back(number);
-            }
-        }
-        tell(item->owner, std::move(result));
+        tell(item->owner, not_held_answer(*item));
     }
     m_jobs.clear();
 }
 
+void pool::on_offers_in_force(time_point now, const offers_in_force& offers)
+{
+    const auto granted = granted_until(now, offers.echo);
+    std::vector<job_id> withdrawn;
+    for (const auto& [id, item] : m_jobs) {
+        if (item->owner != offers.owner || item->granted_until == unlimited_grant) {
+            continue;
+        }
+        if (std::binary_search(offers.numbers.begin(), offers.numbers.end(), item->offer.number)) {
+            item->granted_until = std::max(item->granted_until, granted.value_or(time_point{}));
+        } else if (!(offers.last < item->offer.number)) {
+            withdrawn.push_back(id);
+        }
+    }
+    for (const job_id& id : withdrawn) {
+        record(decision::grant_ended, id, {}, "withdrawn by the owner");
+        drop_job(now, id, "withdrawn");
+    }
+}
+
+void pool::end_grants(time_point now)
+{
+    std::vector<job_id> ended;
+    for (const auto& [id, item] : m_jobs) {
+        if (now > item->granted_until) {
+            ended.push_back(id);
+        }
+    }
+    for (const job_id& id : ended) {
+        const job& item = *find_job(id);
+        record(decision::grant_ended, id, {}, "no news of the owner", since(now, item.granted_until));
+        tell(item.owner, not_held_answer(item));
+        drop_job(now, id, "owner not heard");
+    }
+}
+
 void pool::stop_tasks(time_point now, const job& item)
 {
     for (std::uint32_t number = 0; number < item.tasks.size(); ++number) {
         const task& one = item.tasks[number];
-        if (one.state != task_state::starting && one.state != task_state::running) {
+        if (one.state == task_state::waiting || one.state == task_state::done) {
             continue;
         }
         worker& on = m_workers.at(one.worker);
         const auto found = on.runs.find(ref_of(item, number));
-        if (found != on.runs.end()) {
+        if (found == on.runs.end()) {
+            continue;
+        }
+        found->second.limit = item.granted_until + run_grace;
+        if (one.state != task_state::stopping) {
             send_stop(now, on, found->second);
         }
     }
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -84,8 +84,9 @@
 void pool::send_list(time_point now, worker& on)
 {
     list_order order{{on.entry.id, on.entry.address}, std::nullopt, on.acknowledged, {}, m_options.token};
-    if (on.listed && !on.silent && !on.runs.empty()) {
-        order.lease_until_ms = worker_time(now + m_options.lease, on);
+    const time_point until = std::min(now + m_options.lease, lease_limit(on));
+    if (on.listed && !on.silent && !on.runs.empty() && until > now) {
+        order.lease_until_ms = worker_time(until, on);
         order.wait = m_options.list_wait;
         on.lapse_at = std::max(on.lapse_at, now + m_options.lease + m_options.lapse_margin);
     }
@@ -96,6 +97,20 @@
     m_actions.emplace_back(std::move(order));
 }
 
+// A run whose owner has not renewed the grant, or whose stop is not acknowledged, must end although others on
+// its worker go on; the worker knows one lease for all.
+time_point pool::lease_limit(const worker& on) const
+{
+    time_point end = time_point::max();
+    for (const auto& [ref, item] : on.runs) {
+        const auto owner = m_jobs.find(ref.job);
+        const bool granted = !item.limit && owner != m_jobs.end();
+        end = std::min(
+            end, granted ? owner->second->granted_until + run_grace : item.limit.value_or(time_point{}));
+    }
+    return end;
+}
+
 void pool::on_start_reply(time_point now, const start_reply& reply)
 {
     const auto position = m_workers.find(reply.worker);
@@ -199,6 +214,7 @@
             orphan.sent = now;
             confirm(on, orphan);
             orphan.orphan = true;
+            orphan.limit = now;
             on.used = on.used.plus(orphan.need);
             on.runs.emplace(item.task, orphan);
             adopting.insert(item.task.job);
@@ -390,7 +406,7 @@
         } else if (item.stopping && !item.stop_acknowledged && now > item.stop_sent + stop_retry &&
                    !on.silent) {
             send_stop(now, on, item);
-        } else if (item.orphan && !item.stopping && now > item.sent + m_options.adoption_time) {
+        } else if (item.orphan && !item.stopping && now > item.sent + adoption_time) {
             record(decision::orphan_stopped, ref.job, on.entry.id, {});
             send_stop(now, on, item);
         } else if (!item.orphan && !item.stopping && !on.silent &&
@@ -412,6 +428,7 @@
     if (m_fenced) {
         return;
     }
+    end_grants(now);
     for (auto& [id, on] : m_workers) {
         check_runs(now, on);
         if ((on.silent || !on.listed) && !on.runs.empty() && now >= on.lapse_at) {
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -11,6 +11,8 @@
 constexpr double scarce_share = 0.6;
 // Need of a task where none is known yet, for the estimate of how many tasks fit.
 constexpr std::int64_t default_task_cpu = 8000;
+// A start under a shorter lease would be rejected or lapse before the lease is renewed.
+constexpr milliseconds least_lease{250};
 // Part of the last objective time that is kept back: starting a task and hearing of its end take this long.
 constexpr milliseconds round_trips{10};
 
@@ -23,7 +25,10 @@
 
 bool pool::usable(time_point now, const worker& item) const
 {
-    return item.present && item.listed && !item.silent && !item.entry.draining &&
+    const bool lease_ends = std::any_of(item.runs.begin(), item.runs.end(), [now](const auto& running) {
+        return running.second.limit && *running.second.limit < now + least_lease;
+    });
+    return item.present && item.listed && !item.silent && !item.entry.draining && !lease_ends &&
            now >= item.no_start_until && now >= item.ejected_until && item.clock_offset_ms.has_value();
 }
 
@@ -231,7 +236,7 @@
                                        ref,
                                        assigned,
                                        item.offer.payload,
-                                       worker_time(now + m_options.lease, on),
+                                       worker_time(std::min(now + m_options.lease, lease_limit(on)), on),
                                        m_options.token});
     if (!on.list_pending) {
         send_list(now, on);
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -92,6 +92,7 @@
     milliseconds uncertain_for{};  ///< after this time their runs have ended, unless a worker lists them
     std::vector<std::uint32_t> done_tasks;  ///< global task numbers that are known to be done
     offer_number number{};                  ///< of this offer; a job that is offered again gets a new one
+    milliseconds echo{};                    ///< clock of the holder, as the owner had it last
 
     bool operator==(const job_offer&) const = default;
 };
@@ -110,7 +111,7 @@
     refused,   ///< nothing has run and the job cannot be served in time
     returned,  ///< nothing has run and another pool would serve it sooner
     gave_up,   ///< tasks have run and the rest cannot be served before the deadline
-    not_held,  ///< the receiver does not hold the pool
+    not_held,  ///< the receiver does not hold the pool, or has given the job up
 };
 inline constexpr std::size_t job_end_count = 6;
 
@@ -163,6 +164,10 @@
     std::vector<pool_load> pools;          ///< that the sender holds
     milliseconds next{};                   ///< the receiver gets the next status within this time
     bool directory_source = false;         ///< the sender watches the store and passes changes on
+    milliseconds clock{};                  ///< of the sender
+    milliseconds echo{};                   ///< clock of the receiver, as the sender had it last
+    std::vector<offer_number> offers;      ///< of the sender, in force at the receiver; ascending
+    offer_number last_offer{};             ///< later offers of the sender are not in the list yet
 
     bool operator==(const instance_status&) const = default;
 };
@@ -330,8 +335,10 @@
     job_ended,
     orphan_stopped,
     fenced,
+    offer_expired,  ///< it was on its way for too long
+    grant_ended,    ///< no news of the owner, or it has withdrawn the offer
 };
-inline constexpr std::size_t decision_count = 16;
+inline constexpr std::size_t decision_count = 18;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -311,6 +311,45 @@
     BOOST_TEST(told);
 }
 
+// Guards against a grant that is prolonged while the job is about to start elsewhere.
+BOOST_AUTO_TEST_CASE(a_lost_holder_that_is_back_without_the_pool_may_not_go_on)
+{
+    fixture f;
+    f.hear(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    const auto in_force = [&f] {
+        workers::instance_status status;
+        f.core.add_offers_in_force(f.now, endpoint("near"), status);
+        return status.offers.size();
+    };
+    BOOST_TEST(in_force() == 1U);
+    f.pass(related_silence_limit + milliseconds(20));
+    BOOST_TEST(in_force() == 1U);
+    f.hear(status_of("near", "ollur"));
+    f.pass(milliseconds(20));
+    BOOST_TEST(in_force() == 0U);
+}
+
+// Guards against the clock of this instance, or an old one, in place of the holder's.
+BOOST_AUTO_TEST_CASE(offers_and_statuses_repeat_the_clock_of_the_holder)
+{
+    fixture f;
+    workers::instance_status near = status_of("near", "ollur", {load_of(ollur_pool)});
+    near.clock = milliseconds(7000);
+    f.hear(near);
+    const auto sent = offers(f.submit("j"), "near");
+    BOOST_REQUIRE_EQUAL(sent.size(), 1U);
+    BOOST_TEST(sent[0].echo.count() == 7000);
+    near.clock = milliseconds(7100);
+    f.hear(near);
+    workers::instance_status status;
+    f.core.add_offers_in_force(f.now, endpoint("near"), status);
+    BOOST_TEST(status.echo.count() == 7100);
+    BOOST_REQUIRE_EQUAL(status.offers.size(), 1U);
+    BOOST_TEST((status.offers[0] == sent[0].number));
+    BOOST_TEST((status.last_offer == sent[0].number));
+}
+
 // Guards against callers that wait for holders which took this instance for gone while it was paused.
 BOOST_AUTO_TEST_CASE(after_a_pause_of_this_instance_jobs_are_offered_again)
 {
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -45,6 +45,7 @@
     using namespace workers;
     job_offer offer;
     offer.number = offer_number(8);
+    offer.echo = milliseconds(20);
     offer.job = job_id("5c0e7a21d94b36f8");
     offer.owner = endpoint("127.0.0.1:1");
     offer.pool = pool_id("ollur/desk/0");
@@ -84,7 +85,11 @@
                         7,
                         {load},
                         milliseconds(150),
-                        true},
+                        true,
+                        milliseconds(15),
+                        milliseconds(16),
+                        {offer_number(17), offer_number(18)},
+                        offer_number(19)},
         directory_pull{endpoint("127.0.0.1:5"), 11},
         directory_push{endpoint("127.0.0.1:4"), 11, 12, true, {{"servers/i-1", 13, "{}"}, {"k", 14, ""}}},
     };
--- a/tests/workers/offers_test.cpp
+++ b/tests/workers/offers_test.cpp
@@ -13,6 +13,13 @@
     return value;
 }
 
+const endpoint owner_address("10.0.0.2:1");
+
+offers_in_force in_force(time_point echo, std::vector<offer_number> numbers, std::uint64_t last)
+{
+    return {owner_address, clock_reading(echo), std::move(numbers), offer_number(last)};
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(offers_of_a_job)
@@ -48,6 +55,113 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_an_offer_was_held_up)
+
+// Guards against a start by a former holder: the offer arrives after the owner has given the job to another
+// pool.
+BOOST_AUTO_TEST_CASE(it_is_not_started)
+{
+    pool_fixture f;
+    f.list(0);
+    job_offer late = numbered(1);
+    late.echo = clock_reading(f.now());
+    f.pass(offer_validity + milliseconds(1));
+    f.list(0);
+    f.offer_job(late);
+    BOOST_TEST(f.starts.empty());
+    BOOST_REQUIRE_EQUAL(f.results.size(), 1U);
+    BOOST_TEST((f.results[0].end == job_end::not_held));
+    BOOST_TEST(!f.results[0].may_have_run);
+}
+
+// Guards against an offer to a former life of this machine, whose clock was ahead.
+BOOST_AUTO_TEST_CASE(an_echo_from_the_future_does_not_count)
+{
+    pool_fixture f;
+    f.list(0);
+    job_offer other = numbered(1);
+    other.echo = clock_reading(f.now() + milliseconds(1));
+    f.offer_job(other);
+    BOOST_TEST(f.starts.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(while_the_job_is_held)
+
+struct held_job : pool_fixture {
+    held_job()
+    {
+        list(0);
+        job_offer value = numbered(5);
+        value.echo = clock_reading(now());
+        offer_job(value);
+    }
+};
+
+// Guards against a holder that goes on with a job after its owner has given it up.
+BOOST_AUTO_TEST_CASE(it_is_given_up_without_news_of_the_owner)
+{
+    held_job f;
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    f.pass(offer_validity);
+    BOOST_TEST(f.get().job_count() == 1U);
+    f.pass(milliseconds(1));
+    BOOST_TEST(f.get().job_count() == 0U);
+    BOOST_TEST(f.stops.size() == 1U);
+    BOOST_REQUIRE_EQUAL(f.results.size(), 1U);
+    BOOST_TEST((f.results[0].end == job_end::not_held));
+    BOOST_TEST((f.results[0].uncertain_tasks == std::vector<std::uint32_t>{0}));
+}
+
+// Guards against a status that was held up and counts as news when it arrives.
+BOOST_AUTO_TEST_CASE(only_the_echoed_clock_prolongs_the_grant)
+{
+    held_job f;
+    const time_point echoed = f.now();
+    f.pass(milliseconds(500));
+    f.get().on_offers_in_force(f.now(), in_force(echoed, {offer_number(5)}, 5));
+    f.pass(milliseconds(400));
+    BOOST_TEST(f.get().job_count() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(news_of_the_owner_prolong_the_grant)
+{
+    held_job f;
+    f.pass(milliseconds(500));
+    f.get().on_offers_in_force(f.now(), in_force(f.now(), {offer_number(5)}, 6));
+    f.pass(milliseconds(400));
+    BOOST_TEST(f.get().job_count() == 1U);
+}
+
+// Guards against a cancel that was lost with its connection.
+BOOST_AUTO_TEST_CASE(an_offer_that_is_not_in_force_any_more_ends_the_job)
+{
+    held_job f;
+    f.get().on_offers_in_force(f.now(), in_force(f.now(), {}, 4));
+    BOOST_TEST(f.get().job_count() == 1U);
+    f.get().on_offers_in_force(f.now(), in_force(f.now(), {offer_number(6)}, 6));
+    f.take();
+    BOOST_TEST(f.get().job_count() == 0U);
+    BOOST_TEST(f.stops.size() == 1U);
+}
+
+// Guards against a run whose stop gets lost while other runs on its worker keep the lease renewed.
+BOOST_AUTO_TEST_CASE(leases_end_soon_after_the_grant)
+{
+    held_job f;
+    const std::int64_t usual = f.starts.at(0).lease_until_ms;
+    f.pass(milliseconds(600));
+    f.list(0, {{f.starts[0].task, f.starts[0].run, 0}});
+    BOOST_REQUIRE(!f.lists.empty());
+    BOOST_REQUIRE(f.lists.back().lease_until_ms.has_value());
+    // The worker's clock reads 5000 at each listing.
+    BOOST_TEST(usual == 5700);
+    BOOST_TEST(*f.lists.back().lease_until_ms == 5000 + (offer_validity + run_grace).count() - 600);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::workers::test
--- a/tests/workers/pool_fixture.h
+++ b/tests/workers/pool_fixture.h
@@ -94,6 +94,8 @@
                 starts.push_back(*start);
             } else if (auto* stop = std::get_if<stop_order>(&item)) {
                 stops.push_back(*stop);
+            } else if (auto* order = std::get_if<list_order>(&item)) {
+                lists.push_back(*order);
             } else if (auto* out = std::get_if<to_owner>(&item)) {
                 if (auto* result = std::get_if<job_result>(&out->message)) {
                     results.push_back(*result);
@@ -107,6 +109,7 @@
 
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
+    std::vector<list_order> lists;
     std::vector<job_result> results;
 
 private:
