peer: leave out one odd address instead of ending all links

Seen: "one odd instance record stops all links". network::set_peers refused the whole list where one address of it was no address, so an instance that read one odd record of another writer got no new links and kept old ones. Test before the change (links/.../an_odd_address_costs_no_other_link): check first.wait_up(2) has failed check second.wait_up(1) has failed

Cause: engine::set_learned returned false at the first address that parse_address does not take; port 0, "0.0.0.0" and "::1:1" passed it.

Change: peer::is_connectable is the one strict check of addresses of others (ip:port or [ip6]:port, port 1 to 65535, one spelling of the port, no scope, no unspecified or multicast address). set_learned leaves the others out and still returns false then, as the existing test asks.

--- a/source/peer/address.h
+++ b/source/peer/address.h
@@ -32,6 +32,26 @@
     return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
+/// True for an address that a connection can be opened to: "ip:port" or "[ip6]:port" with a port above 0 and
+/// no other spelling of the same. The one check of addresses that come from the store, workers or peers; what
+/// passes it is safe in a URL.
+inline bool is_connectable(const endpoint& address)
+{
+    // "[" 39 characters "]:65535"
+    constexpr std::size_t longest_address = 47;
+    const std::string& text = address.value();
+    const auto parsed = text.size() <= longest_address ? parse_address(address) : std::nullopt;
+    if (!parsed || parsed->port() == 0 || parsed->address().is_unspecified() ||
+        parsed->address().is_multicast()) {
+        return false;
+    }
+    // A scope ("%eth0") holds for one machine only. Of IPv6 many spellings are in use, of ports just one.
+    const std::size_t colon = text.rfind(':');
+    const bool bracketed = text.front() == '[' && text[colon - 1] == ']';
+    return bracketed == parsed->address().is_v6() && text.find('%') == std::string::npos &&
+           text.substr(colon + 1) == std::to_string(parsed->port());
+}
+
 /// "ip:port" of a socket address.
 inline endpoint format_address(const boost::asio::ip::tcp::endpoint& address)
 {
--- a/source/peer/engine.cpp
+++ b/source/peer/engine.cpp
@@ -82,12 +82,9 @@
 
 bool network::engine::set_learned(std::vector<endpoint> learned)
 {
-    for (const endpoint& address : learned) {
-        if (!parse_address(address)) {
-            return false;
-        }
-    }
-    return push(learned_peers{std::move(learned)});
+    const auto left_out =
+        std::erase_if(learned, [](const endpoint& address) { return !is_connectable(address); });
+    return push(learned_peers{std::move(learned)}) && left_out == 0;
 }
 
 void network::engine::wake()
--- a/source/peer/peer.h
+++ b/source/peer/peer.h
@@ -113,8 +113,10 @@
     /// Identity that peers see.
     instance_id self() const;
 
-    /// Replaces the learned addresses to connect to; those of the options stay. Any thread.
-    /// @returns false if the command queue is full or an address is not valid; nothing changes then
+    /// Replaces the learned addresses to connect to; those of the options stay. Addresses to which no
+    /// connection can be opened are left out, so that one of them does not end the links to the others. Any
+    /// thread.
+    /// @returns false if the command queue is full, when nothing changes, or if an address was left out
     bool set_peers(std::vector<endpoint> learned);
 
     /// Queues a message for whichever run of an instance is linked at the address. Any thread.
--- a/tests/peer/links_test.cpp
+++ b/tests/peer/links_test.cpp
@@ -46,6 +46,21 @@
                              [](const auto& item) { return item.what == test::event::kind::up; }) == 1);
 }
 
+// Guards against one odd address that ends the links to all others.
+BOOST_AUTO_TEST_CASE(an_odd_address_costs_no_other_link)
+{
+    node first(1);
+    node second(2);
+    std::vector<endpoint> learned{second.links().address()};
+    for (const char* odd : {"", "x", "host:1", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:1 ",
+                            "a@127.0.0.1:1", "127.0.0.1:1/x", "0.0.0.0:1", "[::1:1", "::1:1"}) {
+        learned.emplace_back(odd);
+    }
+    BOOST_TEST(!first.links().set_peers(learned));
+    BOOST_TEST(first.wait_up(2));
+    BOOST_TEST(second.wait_up(1));
+}
+
 // Guards against one system call for each small message (at 51,000 starts/s these would take a core).
 BOOST_AUTO_TEST_CASE(messages_that_wait_together_are_written_together)
 {
