routing: bound the number of pools that a layout record gives

Seen: a record {"pools":} keeps the core thread busy for good: divide() takes a digest for each pool and worker.

Change: 1 to max_pools (256) are usable. Others are written again with the former number (`rewrite`) or, without one, with a computed number, under the revision of the odd record. No more than max_pools is proposed, once.

--- a/source/routing/layout.cpp
+++ b/source/routing/layout.cpp
@@ -1,5 +1,7 @@
 #include "routing/layout.h"
 
+#include <algorithm>
+
 namespace poplarshed::routing {
 
 namespace {
@@ -32,6 +34,11 @@
                    '.' + std::to_string(index));
 }
 
+bool is_usable(const group_layout& layout)
+{
+    return layout.pools >= 1 && layout.pools <= max_pools;
+}
+
 }  // namespace
 
 std::vector<layout_change> layout_changes(const std::vector<workers::worker_entry>& entries,
@@ -43,14 +50,19 @@
     }
     std::vector<layout_change> changes;
     for (const auto& [group, workers] : counts) {
-        const std::size_t wanted = (workers + workers_per_pool - 1) / workers_per_pool;
+        const std::size_t wanted = std::min(max_pools, (workers + workers_per_pool - 1) / workers_per_pool);
         const auto known = layout.find(group);
         if (known == layout.end()) {
             changes.push_back({group, wanted, 0});
             continue;
         }
-        if (workers > known->second.pools * most_workers_per_pool) {
-            changes.push_back({group, wanted, known->second.revision});
+        const group_layout& current = known->second;
+        if (!is_usable(current)) {
+            changes.push_back({group, wanted, current.revision});
+        } else if (current.rewrite) {
+            changes.push_back({group, current.pools, current.revision});
+        } else if (workers > current.pools * most_workers_per_pool && wanted > current.pools) {
+            changes.push_back({group, wanted, current.revision});
         }
     }
     return changes;
@@ -62,7 +74,7 @@
     for (const workers::worker_entry& entry : entries) {
         const worker_group group{entry.data_centre, entry.service};
         const auto known = layout.find(group);
-        if (known != layout.end()) {
+        if (known != layout.end() && is_usable(known->second)) {
             const std::size_t count = known->second.pools;
             pools[name_of(group, count, pool_of(entry.id.value(), count))].push_back(entry);
         }
--- a/tests/routing/layout_test.cpp
+++ b/tests/routing/layout_test.cpp
@@ -93,6 +93,44 @@
     BOOST_TEST(service_of(pool_id("ollur/desk")).value() == "desk");
 }
 
+BOOST_AUTO_TEST_SUITE(when_a_record_has_an_odd_number)
+
+// Guards against a core thread that never ends to compute the pool of a worker, and against instances that
+// divide workers by a number that no instance has written.
+BOOST_AUTO_TEST_CASE(it_is_replaced_and_not_used)
+{
+    for (const std::size_t odd : {std::size_t{0}, max_pools + 1, std::size_t{1} << 60U}) {
+        const pool_layout layout{{ollur_desk, {odd, 9}}};
+        BOOST_TEST(divide(entries(117), layout).empty());
+        const auto changes = layout_changes(entries(117), layout);
+        BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+        BOOST_TEST((changes[0] == layout_change{ollur_desk, 3, 9}));
+    }
+}
+
+// Guards against a number that was kept for the odd one and is never written again.
+BOOST_AUTO_TEST_CASE(a_former_number_is_used_and_written_again)
+{
+    group_layout kept{5, 9};
+    kept.rewrite = true;
+    const pool_layout layout{{ollur_desk, kept}};
+    BOOST_TEST(!divide(entries(117), layout).empty());
+    const auto changes = layout_changes(entries(117), layout);
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST((changes[0] == layout_change{ollur_desk, 5, 9}));
+}
+
+// Guards against a proposal without end where there are more workers than pools can take.
+BOOST_AUTO_TEST_CASE(no_more_than_the_greatest_number_is_proposed)
+{
+    const auto changes = layout_changes(entries(30'000), {});
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST(changes[0].pools == max_pools);
+    BOOST_TEST(layout_changes(entries(30'000), {{ollur_desk, {max_pools, 9}}}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::routing::test
