http: refuse requests that texts of other processes would change

Seen: ids and addresses of worker entries go into headers and URLs as they are.

Cause: the client pastes host, target and headers into a URL and a header list; libcurl sends line ends of a header as they are.

Change: a request whose host has '@', '/', '\', '?', '#', a space or a control character, whose target has one of the last two, or a header of which has a line end is not sent (`not_sent`, with a detail).

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -40,6 +40,22 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+// Texts of other processes must not add to a request: no spaces or control characters in its first line and
+// its host, no line ends in its headers, and no user name, path or query in the host.
+bool is_well_formed(const request& call)
+{
+    const auto is_graphic = [](unsigned char item) { return item > ' ' && item != 0x7f; };
+    const std::string& host = call.host.value();
+    return !host.empty() && std::all_of(host.begin(), host.end(), is_graphic) &&
+           host.find_first_of("@/\\?#") == std::string::npos && call.target.starts_with('/') &&
+           std::all_of(call.target.begin(), call.target.end(), is_graphic) &&
+           std::all_of(call.headers.begin(), call.headers.end(), [](const header& item) {
+               constexpr std::string_view line_ends("\r\n\0", 3);
+               return item.first.find_first_of(line_ends) == std::string::npos &&
+                      item.second.find_first_of(line_ends) == std::string::npos;
+           });
+}
+
 // State of one call while libcurl works on it.
 struct transfer {
     call_id id;
@@ -172,6 +188,13 @@
 
     void execute(start_command& item)
     {
+        if (!is_well_formed(item.call)) {
+            response refused;
+            refused.detail =
+                "the host, the target or a header of the request has characters that it must not have";
+            m_on_response(item.id, std::move(refused));
+            return;
+        }
         auto* state =
             new transfer{item.id, std::move(item.call), {}, {}, nullptr, m_options.max_response_bytes};
         CURL* handle = take_handle();
--- a/source/http/http.h
+++ b/source/http/http.h
@@ -73,7 +73,8 @@
     /// Ends the thread. Calls in flight get no response.
     ~client();
 
-    /// Queues a call. Any thread. @returns false if the queue is full; nothing was sent
+    /// Queues a call. Any thread. A host, target or header with characters that would change the request is
+    /// not sent. @returns false if the queue is full; nothing was sent
     bool start(call_id id, request call);
     /// Closes a call's connection; its outcome is `abandoned`. Any thread. @returns false if the queue is
     /// full
