instance, platform: one odd input costs itself and a counted reason

Cause: fields were converted without a check of their range, documents were parsed without a bound on depth, a page without a readable envelope passed for an empty one, and any revision raised that of the directory.

A run whose number is odd is listed with the number 0: left out, it would count as ended and start a second time.

--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -49,6 +49,7 @@
     void receive(time_point now, workers::directory_push& message);
 
     void finish_order(time_point now, const pending_order& pending, const http::response& response);
+    void report_skipped_rows(const workers::order_target& from, const std::vector<input_error>& skipped);
     void finish_store(time_point now, const store_call& pending, const http::response& response);
     void submit(time_point now, routing::caller_id caller, const routing::route& target, caller_call call,
                 const std::string& request_id);
@@ -105,6 +106,7 @@
     bool m_configured = false;
     pool_host m_pools;
     std::unordered_map<http::call_id, pending_call> m_calls;
+    fault_journal m_row_faults;  ///< by worker and fault
     std::uint64_t m_last_call = 0;
     bool m_leaving = false;
     bool m_store_was_reachable = false;
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -86,6 +86,7 @@
         const auto& list = std::get<workers::list_order>(pending.order);
         const auto answer = m_protocol.decode_list(list, response);
         if (answer) {
+            report_skipped_rows(list.target, answer.value().skipped);
             pool.on_listing(now, answer.value());
         } else {
             pool.on_list_failure(now, list.target.worker, answer.error());
@@ -93,6 +94,24 @@
     }
 }
 
+void daemon::report_skipped_rows(const workers::order_target& from, const std::vector<input_error>& skipped)
+{
+    for (const input_error& cause : skipped) {
+        m_metrics.add(telemetry::rows_skipped, to_string(cause.reason));
+        // Lists come several times a second, mostly with the same rows.
+        if (m_row_faults.is_new(from.worker.value() + ' ' + cause.detail, cause)) {
+            m_log.event({severity::warning,
+                         telemetry::category::upstream,
+                         "row of a worker's list skipped",
+                         {},
+                         {{"worker", from.worker.value()},
+                          {"address", from.address.value()},
+                          {"reason", std::string(to_string(cause.reason))},
+                          {"detail", cause.detail}}});
+        }
+    }
+}
+
 void daemon::finish_store(time_point now, const store_call& pending, const http::response& response)
 {
     const store_answer answer = m_store.on_answer(now, pending, response);
@@ -131,11 +150,14 @@
         apply_configuration();
     }
     for (const directory::skipped_entry& skipped : m_directory.take_skipped()) {
+        m_metrics.add(telemetry::items_skipped, to_string(skipped.cause.reason));
         m_log.event({severity::warning,
                      telemetry::category::membership,
-                     "worker entry skipped",
+                     "item skipped",
                      {},
-                     {{"key", skipped.key}, {"detail", skipped.cause}}});
+                     {{"key", skipped.key},
+                      {"reason", std::string(to_string(skipped.cause.reason))},
+                      {"detail", skipped.cause.detail}}});
     }
     m_pools.on_completeness(directory_current(now) && m_directory.complete(now));
     if (changes.workers || changes.layout) {
@@ -150,11 +172,12 @@
 {
     auto decoded = m_protocol.decode_configuration(m_directory.configuration_value());
     if (!decoded) {
+        m_metrics.add(telemetry::items_skipped, to_string(decoded.error().reason));
         m_log.event({severity::error,
                      telemetry::category::configuration,
                      "configuration cannot be read",
                      {},
-                     {{"detail", decoded.error().message}}});
+                     {{"detail", decoded.error().detail}}});
         return;
     }
     if (m_configured && decoded.value().version < m_configuration.version) {
--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds lapse_memory{30'000};
 // Removals that are remembered for peers; beyond it they get all items.
 constexpr std::size_t max_removed = 4096;
+// Reports that wait for the owner, who takes them after each call; a whole list of odd items of the largest
+// site.
+constexpr std::size_t max_skipped = 4096;
 
 }  // namespace
 
@@ -59,12 +62,13 @@
 void directory::apply(time_point now, const store_item& content)
 {
     m_lapsed = m_lapsed == time_point{} ? now : m_lapsed;
+    if (const auto fault = fault_of(content)) {
+        skip(content.key, *fault);
+        return;
+    }
     m_revision = std::max(m_revision, content.revision);
     if (content.key == m_protocol.configuration_key()) {
-        if (!content.removed && content.revision > m_configuration.content.revision) {
-            m_configuration = {content, number(content.key, m_configuration.changed)};
-            m_changes.configuration = true;
-        }
+        apply_configuration(content);
         return;
     }
     const auto known = m_items.find(content.key);
@@ -76,7 +80,7 @@
         return;
     }
     m_vanished.erase(content.key);
-    const bool matters = !is_worker(content.key) || apply_worker(content);
+    const bool matters = !is_worker(content.key) || apply_worker(now, content);
     item& kept = m_items[content.key];
     kept.content = content;
     if (matters) {
@@ -85,23 +89,60 @@
         if (gone != m_removed.end()) {
             m_removed.erase(gone);
         }
-        m_own.apply(content);
+        if (!is_worker(content.key)) {
+            apply_own(content);
+        }
         mark(content.key);
     }
 }
 
-bool directory::apply_worker(const store_item& content)
+void directory::apply_configuration(const store_item& content)
+{
+    if (!content.removed && content.revision > m_configuration.content.revision) {
+        m_configuration = {content, number(content.key, m_configuration.changed)};
+        m_changes.configuration = true;
+    }
+}
+
+void directory::apply_own(const store_item& content)
+{
+    if (const auto fault = m_own.apply(content)) {
+        skip(content.key, *fault);
+    } else {
+        m_faults.forget(content.key);
+    }
+}
+
+std::optional<input_error> directory::fault_of(const store_item& content) const
+{
+    const std::string& key = content.key;
+    const bool known_kind =
+        key == m_protocol.configuration_key() || is_worker(key) || key.starts_with(m_own.prefix());
+    if (!known_kind || key.size() > max_key_bytes ||
+        !std::all_of(key.begin(), key.end(), [](unsigned char c) { return c > ' ' && c != 0x7f; })) {
+        return input_error{input_fault::key, "the key is too long, has odd bytes, or is of no known kind"};
+    }
+    if (content.revision == 0 || content.revision > max_revision) {
+        return input_error{input_fault::revision, "the revision is out of range"};
+    }
+    return std::nullopt;
+}
+
+bool directory::apply_worker(time_point now, const store_item& content)
 {
     auto decoded = m_protocol.decode_worker(content.key, content.value);
     const auto known = m_workers.find(content.key);
     if (!decoded) {
-        const bool is_new = !m_items.contains(content.key) || known != m_workers.end();
-        if (is_new) {
-            m_skipped.push_back({content.key, decoded.error().message});
-            m_workers.erase(content.key);
+        skip(content.key, decoded.error());
+        if (known == m_workers.end()) {
+            return !m_items.contains(content.key);
         }
-        return is_new;
+        // Whoever has overwritten the entry, the worker may run on.
+        m_lapsed = known->second.draining ? m_lapsed : now;
+        m_workers.erase(known);
+        return true;
     }
+    m_faults.forget(content.key);
     if (known != m_workers.end() && known->second == decoded.value()) {
         return false;
     }
@@ -109,6 +150,15 @@
     return true;
 }
 
+void directory::skip(const std::string& key, const input_error& cause)
+{
+    // Keys of other writers have any length.
+    const std::string shown = key.substr(0, max_key_bytes);
+    if (m_skipped.size() < max_skipped && m_faults.is_new(shown, cause)) {
+        m_skipped.push_back({shown, cause});
+    }
+}
+
 void directory::remove(time_point now, const store_item& content)
 {
     if (!m_items.contains(content.key)) {
@@ -144,6 +194,7 @@
     removed.content = {key, {}, known->second.content.revision, true};
     removed.changed = number(key, known->second.changed);
     m_items.erase(known);
+    m_faults.forget(key);
     m_own.forget(key);
     mark(key);
 }
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -22,10 +22,10 @@
         bool layout = false;
     };
 
-    /// An entry that names no worker to use.
+    /// An item that is not used.
     struct skipped_entry {
         std::string key;
-        std::string cause;
+        input_error cause;
     };
 
     /// @param first_sequence above every sequence of a former life of this instance
@@ -45,7 +45,10 @@
 
     /// What has changed since the last call.
     change take_changes();
+    /// Items that are not used, each fault once.
     std::vector<skipped_entry> take_skipped();
+    /// Reports an item, or a list of them, that is not used.
+    void skip(const std::string& key, const input_error& cause);
     /// True if every change since a sequence number of this instance is known.
     bool remembers(std::uint64_t sequence) const
     {
@@ -54,7 +57,7 @@
     /// Items that have changed since a sequence number; all where it is not remembered.
     workers::directory_push changes_since(std::uint64_t sequence) const;
     std::uint64_t sequence() const { return m_sequence; }
-    /// Greatest revision of an item.
+    /// Greatest revision of an item that is used.
     std::uint64_t revision() const { return m_revision; }
 
     const std::string& configuration_value() const { return m_configuration.content.value; }
@@ -72,8 +75,12 @@
     };
 
     void apply(time_point now, const store_item& content);
+    void apply_configuration(const store_item& content);
+    void apply_own(const store_item& content);
+    /// Faults of an item that do not depend on its kind.
+    std::optional<input_error> fault_of(const store_item& content) const;
     /// @returns false if nothing but a sign of life has changed
-    bool apply_worker(const store_item& content);
+    bool apply_worker(time_point now, const store_item& content);
     void remove(time_point now, const store_item& content);
     void drop(time_point now, const std::string& key);
     void keep_only(time_point now, const std::string& prefix, const std::set<std::string>& present);
@@ -93,6 +100,7 @@
     item m_configuration;
     change m_changes;
     std::vector<skipped_entry> m_skipped;
+    fault_journal m_faults;  ///< by key
     std::uint64_t m_revision = 0;
     std::uint64_t m_sequence;
     std::uint64_t m_first_sequence;  ///< changes before it are not remembered
--- a/source/instance/own_records.cpp
+++ b/source/instance/own_records.cpp
@@ -1,8 +1,6 @@
 #include "instance/own_records.h"
 
-#include <algorithm>
-
-#include "json/json.h"
+#include "peer/address.h"
 
 namespace poplarshed::instance {
 
@@ -55,24 +53,54 @@
         service_id(key.substr(slash + 1))};
 }
 
-void own_records::apply(const store_item& item)
+std::optional<input_error> own_records::apply(const store_item& item)
 {
     if (!item.key.starts_with(m_prefix)) {
-        return;
+        return std::nullopt;
     }
     const auto parsed = json::parse(item.value, item.key, {max_record_bytes});
-    const json::value record = parsed && parsed.value().is_object() ? parsed.value() : json::value::object();
+    const bool readable = parsed && parsed.value().is_object();
+    const json::value record = readable ? parsed.value() : json::value::object();
+    if (is_layout(item.key)) {
+        return apply_layout(item, record);
+    }
+    const bool is_pool = item.key.starts_with(m_pools_prefix);
+    if (!is_pool && !is_instance(item.key)) {
+        return std::nullopt;
+    }
     const json::value address_text = field(record, address_field);
-    const endpoint address(address_text.is_string() ? address_text.get<std::string>() : "");
-    if (is_instance(item.key)) {
-        m_instances[item.key] = address;
-    } else if (item.key.starts_with(m_pools_prefix)) {
+    endpoint address(address_text.is_string() ? address_text.get<std::string>() : "");
+    const bool usable = peer::is_connectable(address);
+    address = usable ? address : endpoint();
+    if (is_pool) {
+        // Without an address nobody holds the pool; the revision is needed to claim it.
         m_pools[routing::pool_id(item.key.substr(m_pools_prefix.size()))] = {address, item.revision};
-    } else if (const auto group = group_of(item.key)) {
-        const json::value pools = field(record, pools_field);
-        const std::size_t count = pools.is_number_unsigned() ? pools.get<std::size_t>() : 1;
-        m_layout[*group] = {std::max<std::size_t>(1, count), item.revision};
+    } else {
+        m_instances[item.key] = address;
+    }
+    if (usable) {
+        return std::nullopt;
+    }
+    return readable ? input_error{input_fault::address, "the address is not of the form ip:port"}
+                    : input_error{input_fault::unreadable, "no JSON object, or nested too deeply"};
+}
+
+std::optional<input_error> own_records::apply_layout(const store_item& item, const json::value& record)
+{
+    const auto group = group_of(item.key);
+    if (!group) {
+        return input_error{input_fault::key, "the key names no zone and service"};
+    }
+    const json::value pools = field(record, pools_field);
+    const std::uint64_t count = pools.is_number_unsigned() ? pools.get<std::uint64_t>() : 0;
+    routing::group_layout& known = m_layout.try_emplace(*group, routing::group_layout{0}).first->second;
+    known.revision = item.revision;
+    known.rewrite = count < 1 || count > routing::max_pools;
+    if (known.rewrite) {
+        return input_error{input_fault::number, "the number of pools is out of range"};
     }
+    known.pools = count;
+    return std::nullopt;
 }
 
 void own_records::forget(const std::string& key)
--- a/source/instance/own_records.h
+++ b/source/instance/own_records.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "instance/protocol.h"
+#include "json/json.h"
 
 namespace poplarshed::instance {
 
@@ -14,8 +15,8 @@
     /// @param node name of this instance
     own_records(std::string prefix, const std::string& node);
 
-    /// Takes an item; items of others are ignored.
-    void apply(const store_item& item);
+    /// Takes an item; items of others are ignored. @returns why it names nothing
+    std::optional<input_error> apply(const store_item& item);
     void forget(const std::string& key);
 
     std::vector<endpoint> instances() const;
@@ -34,6 +35,7 @@
     static std::string value(std::size_t pools);
 
 private:
+    std::optional<input_error> apply_layout(const store_item& item, const json::value& record);
     std::optional<routing::worker_group> group_of(const std::string& key) const;
 
     std::string m_prefix;
--- a/source/instance/protocol.h
+++ b/source/instance/protocol.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "http/http.h"
+#include "instance/input_fault.h"
 #include "routing/routing.h"
 
 namespace poplarshed::instance {
@@ -45,9 +46,21 @@
 };
 
 struct store_page {
-    std::vector<store_item> items;
+    std::vector<store_item> items;  ///< an odd revision is given as 0, an odd value as an empty one
     std::uint64_t revision = 0;
     bool more = false;
+    std::size_t skipped = 0;  ///< rows whose key cannot be read
+};
+
+/// Greatest revision of which a fencing token can be made: a token keeps 16 of 64 bits for instances that
+/// take a pool without the store, and the adapter's numbers are signed.
+inline constexpr std::uint64_t max_revision = (std::uint64_t{1} << 47U) - 1;
+/// Bytes of a key, from the pages of the users' store.
+inline constexpr std::size_t max_key_bytes = 200;
+
+/// A worker's list, and why rows of it were left out.
+struct decoded_listing : workers::listing {
+    std::vector<input_error> skipped;
 };
 
 /// Conditional write of one item.
@@ -88,9 +101,10 @@
     /// Items of a page, or events of a watch. @returns history_lost if the watch must begin anew
     virtual result<store_page, store_status> decode_items(const http::response& response) const = 0;
     virtual store_answer decode_answer(const http::response& response) const = 0;
-    virtual result<routing::configuration> decode_configuration(const std::string& value) const = 0;
-    virtual result<workers::worker_entry> decode_worker(const std::string& key,
-                                                        const std::string& value) const = 0;
+    virtual result<routing::configuration, input_error> decode_configuration(
+        const std::string& value) const = 0;
+    virtual result<workers::worker_entry, input_error> decode_worker(const std::string& key,
+                                                                     const std::string& value) const = 0;
 
     // Workers
     virtual http::request encode(const workers::start_order& order) const = 0;
@@ -100,7 +114,8 @@
                                               const http::response& response) const = 0;
     virtual workers::stop_reply decode_stop(const workers::stop_order& order,
                                             const http::response& response) const = 0;
-    virtual result<workers::listing, workers::list_failure> decode_list(
+    /// A run whose number is odd is listed with the number 0, since it may be one that counts as running.
+    virtual result<decoded_listing, workers::list_failure> decode_list(
         const workers::list_order& order, const http::response& response) const = 0;
 
     // Callers
--- a/source/instance/store_link.cpp
+++ b/source/instance/store_link.cpp
@@ -22,6 +22,9 @@
 // The store counts as away after two renewals without an answer.
 constexpr milliseconds away_after{1100};
 constexpr milliseconds rewrite_interval{500};
+// Items of a list in all its pages: ten times those of the largest site known. A list that goes on without
+// end must not fill the memory.
+constexpr std::size_t max_listed = 50'000;
 
 constexpr std::array<std::string_view, store_call::purpose_count> purpose_names{
     "list", "watch", "grant", "renew", "write", "claim", "layout"};
@@ -130,7 +133,12 @@
         call.kind == purpose::list ? on_items(now, item, response) : on_events(now, item, response);
         return {};
     }
-    const store_answer answer = m_protocol.decode_answer(response);
+    store_answer answer = m_protocol.decode_answer(response);
+    // Records without a lease would outlive this instance, and workers refuse a token without a revision.
+    if (answer.status == store_status::done && ((call.kind == purpose::grant && answer.lease == 0) ||
+                                                (call.kind == purpose::claim && answer.revision == 0))) {
+        answer.status = store_status::failed;
+    }
     if (answer.status == store_status::failed) {
         m_directory.on_store_failure(now);
     } else {
@@ -165,7 +173,8 @@
 void store_link::on_items(time_point now, feed& item, const http::response& response)
 {
     auto page = m_protocol.decode_items(response);
-    if (!page) {
+    if (!page || !goes_on(item, page.value())) {
+        report_unreadable(item, response);
         m_directory.on_store_failure(now);
         item.next_try = now + feed_retry;
         item.after.clear();
@@ -173,13 +182,14 @@
         return;
     }
     m_answered = now;
+    report_skipped(item, page.value());
     auto& items = page.value().items;
     if (item.after.empty()) {
         // Changes after the first page are seen by the watch, which begins there.
         item.revision = page.value().revision;
     }
     item.page.insert(item.page.end(), items.begin(), items.end());
-    if (page.value().more && !items.empty()) {
+    if (page.value().more) {
         item.after = items.back().key;
         return;
     }
@@ -191,12 +201,37 @@
     item.answered = now;
 }
 
+// A page that does not lead to the next one would be asked for again and again, or taken for the last one.
+bool store_link::goes_on(const feed& item, const store_page& page)
+{
+    if (item.page.size() + page.items.size() > max_listed) {
+        return false;
+    }
+    return !page.more || (!page.items.empty() && page.items.back().key > item.after);
+}
+
+void store_link::report_skipped(const feed& item, const store_page& page)
+{
+    if (page.skipped > 0) {
+        m_directory.skip(item.prefix, {input_fault::unreadable, "rows without a key"});
+    }
+}
+
+void store_link::report_unreadable(const feed& item, const http::response& response)
+{
+    constexpr int http_ok = 200;
+    if (response.answered() && response.status == http_ok) {
+        m_directory.skip(item.prefix, {input_fault::unreadable, "a list or watch cannot be read"});
+    }
+}
+
 void store_link::on_events(time_point now, feed& item, const http::response& response)
 {
     auto page = m_protocol.decode_items(response);
     if (!page) {
         // What was missed meanwhile is found by listing anew.
         item.state = feed_state::idle;
+        report_unreadable(item, response);
         if (page.error() != store_status::history_lost) {
             item.next_try = now + feed_retry;
             m_directory.on_store_failure(now);
@@ -205,6 +240,7 @@
     }
     m_answered = now;
     item.answered = now;
+    report_skipped(item, page.value());
     m_directory.on_events(now, page.value().items);
     item.revision = std::max(item.revision, page.value().revision);
     if (item.prefix == m_protocol.workers_prefix()) {
--- a/source/instance/store_link.h
+++ b/source/instance/store_link.h
@@ -72,6 +72,9 @@
     static constexpr std::size_t feed_count = 3;
 
     void on_items(time_point now, feed& item, const http::response& response);
+    static bool goes_on(const feed& item, const store_page& page);
+    void report_unreadable(const feed& item, const http::response& response);
+    void report_skipped(const feed& item, const store_page& page);
     void on_events(time_point now, feed& item, const http::response& response);
     void add_feed_calls(time_point now, std::vector<store_call>& calls);
     void add_record_calls(time_point now, std::vector<store_call>& calls);
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -61,6 +61,12 @@
 inline constexpr counter_definition routing_decisions{"poplarshed_routing_decisions_total", "decision",
                                                       "Decisions about callers' jobs."};
 
+inline constexpr counter_definition items_skipped{
+    "poplarshed_items_skipped_total", "reason",
+    "Versions of items of the store that were not used, by fault."};
+inline constexpr counter_definition rows_skipped{"poplarshed_rows_skipped_total", "reason",
+                                                 "Rows of workers' lists that were not used, by fault."};
+
 inline constexpr counter_definition log_lines_dropped{"poplarshed_log_lines_dropped_total", "",
                                                       "Log lines beyond the bound of the queue or rate."};
 
