workers: allow for a worker's slow clock by the age of its offset

Seen by reading: a worker's clock may be 2% slow, and the offset of an idle worker was never aged, since idle workers are not listed. After 60 s its orders were 1.2 s ahead of the worker: a start was accepted up to 1.9 s after it was sent, under a lease of 1,000 ms, while its task may start elsewhere after 820 ms. Change: the time on the worker's clock is its least possible value, 2% of the age below the offset, and an idle worker is listed every 10 s, so that at most 200 ms of a lease are lost. Cost: one list order per idle worker and 10 s, which was none before.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -129,6 +129,7 @@
         time_point next_list;
         time_point no_start_until;
         std::optional<std::int64_t> clock_offset_ms;  ///< the worker's clock less the local steady clock
+        time_point clock_noted;                       ///< when the offset was learned
         std::uint64_t incarnation = 0;
         std::uint64_t acknowledged = 0;
         std::map<task_ref, run> runs;
@@ -179,6 +180,7 @@
     void send_list(time_point now, worker& on);
     void lapse_all(time_point now, worker& on, std::string_view cause);
     void note_clock(time_point now, worker& on, std::int64_t clock_ms);
+    /// Least time that the worker's clock can show; it may be slow.
     std::int64_t worker_time(time_point at, const worker& on) const;
     void forget_departed();
 
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -27,6 +27,10 @@
 constexpr milliseconds first_ejection{1000};
 constexpr unsigned max_ejection_doublings = 2;
 constexpr milliseconds orphan_end_time{3000};
+// A worker's steady clock may be 2% slow (the platform's protocol, "Running tasks").
+constexpr int clock_drift_divisor = 50;
+// An idle worker is listed this often, so that drift takes at most 200 ms of the lease of its next run.
+constexpr milliseconds clock_lifetime{10'000};
 // Run numbers of a former holder may be higher where clocks differ.
 constexpr std::uint64_t run_number_step = 10'000'000;
 
@@ -73,12 +77,14 @@
 
 std::int64_t pool::worker_time(time_point at, const worker& on) const
 {
-    return steady_ms(at) + on.clock_offset_ms.value_or(0);
+    return steady_ms(at) + on.clock_offset_ms.value_or(0) -
+           since(at, on.clock_noted).count() / clock_drift_divisor;
 }
 
 void pool::note_clock(time_point now, worker& on, std::int64_t clock_ms)
 {
     on.clock_offset_ms = clock_ms - steady_ms(now);
+    on.clock_noted = now;
 }
 
 void pool::send_list(time_point now, worker& on)
@@ -418,7 +424,8 @@
             lapse_all(now, on, "lease lapsed");
             on.listed = false;
         }
-        const bool idle = on.listed && on.runs.empty() && !on.silent && !on.ends_pending;
+        const bool idle = on.listed && on.runs.empty() && !on.silent && !on.ends_pending &&
+                          now < on.clock_noted + clock_lifetime;
         if (!on.list_pending && !idle && now >= on.next_list) {
             send_list(now, on);
         }
--- a/tests/workers/pool_fixture.h
+++ b/tests/workers/pool_fixture.h
@@ -67,12 +67,13 @@
         take();
     }
 
-    void list(std::size_t index, std::vector<listed_run> running = {}, std::vector<listed_end> ended = {})
+    void list(std::size_t index, std::vector<listed_run> running = {}, std::vector<listed_end> ended = {},
+              std::uint64_t incarnation = 1, std::int64_t clock_ms = 5000)
     {
         listing answer;
         answer.worker = entry(index).id;
-        answer.incarnation = 1;
-        answer.clock_ms = 5000;
+        answer.incarnation = incarnation;
+        answer.clock_ms = clock_ms;
         answer.running = std::move(running);
         answer.ended = std::move(ended);
         m_pool.on_listing(m_now, answer);
@@ -94,6 +95,8 @@
                 starts.push_back(*start);
             } else if (auto* stop = std::get_if<stop_order>(&item)) {
                 stops.push_back(*stop);
+            } else if (auto* list = std::get_if<list_order>(&item)) {
+                lists.push_back(*list);
             } else if (auto* out = std::get_if<to_owner>(&item)) {
                 if (auto* result = std::get_if<job_result>(&out->message)) {
                     results.push_back(*result);
@@ -107,6 +110,7 @@
 
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
+    std::vector<list_order> lists;
     std::vector<job_result> results;
 
 private:
