workers: keep leases right when a worker starts anew under its id

A worker that was idle starts anew; its clock begins near 0, and the pool, which does not list idle workers, goes on with the old offset. Its orders expire far ahead, so a run holds the greatest lease (1,000 ms) while its task starts elsewhere after 820 ms, and a late start is never refused. Change: a new life in the directory withdraws the offset and lists the worker; a start's answer tells the clock only if the start was sent in the life that is known; a clock that reads too little counts as a new life; for 15 s after one, and for the first start after a second without an answer, runs count as ended after the greatest lease; starts that were given up are stopped again when the worker is back. Left: a list order of the earlier life that is carried out after the holder has lost the new life again, and a late start that the new life carries out before the holder knows of that life.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -114,6 +114,12 @@
         bool overdue = false;
     };
 
+    /// A run that the worker has never told of.
+    struct given_up_run {
+        run_number number;
+        time_point at;
+    };
+
     struct worker {
         worker_entry entry;
         bool present = false;  ///< the directory lists it
@@ -130,9 +136,13 @@
         time_point no_start_until;
         std::optional<std::int64_t> clock_offset_ms;  ///< the worker's clock less the local steady clock
         time_point clock_noted;                       ///< when the offset was learned
+        std::uint64_t clock_list = 0;  ///< number of the first list whose answer may tell the clock
+        time_point life_known;         ///< the answer to an earlier start may be of an earlier life
+        time_point long_leases_until;  ///< an order of an earlier life may give the greatest lease
         std::uint64_t incarnation = 0;
         std::uint64_t acknowledged = 0;
         std::map<task_ref, run> runs;
+        std::map<task_ref, given_up_run> given_up;  ///< may be carried out late
         resources used;
         speed_estimate speed;
         unsigned failures_in_row = 0;
@@ -176,10 +186,16 @@
     void note_failure(time_point now, worker& on, const job_id& failed);
     void send_stop(time_point now, worker& on, run& item);
     void check_runs(time_point now, worker& on);
+    /// Makes the worker refuse the starts that were given up and may still be on their way.
+    void close_given_up(const worker& on);
     // Workers
     void send_list(time_point now, worker& on);
     void lapse_all(time_point now, worker& on, std::string_view cause);
     void note_clock(time_point now, worker& on, std::int64_t clock_ms);
+    void on_new_life(time_point now, worker& on);
+    /// Time after which a run has ended whose lease an order of now has prolonged, unless it is prolonged
+    /// again.
+    milliseconds lapse_time(time_point now, const worker& on) const;
     /// Least time that the worker's clock can show; it may be slow.
     std::int64_t worker_time(time_point at, const worker& on) const;
     void forget_departed();
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -31,6 +31,11 @@
 constexpr int clock_drift_divisor = 50;
 // An idle worker is listed this often, so that drift takes at most 200 ms of the lease of its next run.
 constexpr milliseconds clock_lifetime{10'000};
+// A call without an answer may be carried out seconds later (the platform's protocol, "Running tasks"), also
+// by a worker that has started anew meanwhile.
+constexpr milliseconds late_order_time{15'000};
+// A clock that reads less than drift and the time of an answer explain has begun anew.
+constexpr milliseconds clock_tolerance{1000};
 // Run numbers of a former holder may be higher where clocks differ.
 constexpr std::uint64_t run_number_step = 10'000'000;
 
@@ -58,9 +63,18 @@
     for (const worker_entry& entry : entries) {
         const auto [position, added] = m_workers.try_emplace(entry.id);
         worker& on = position->second;
+        const bool anew = !added && on.entry.incarnation != entry.incarnation;
         on.present = true;
         on.entry = entry;
-        if (added) {
+        if (anew) {
+            // An answer of the earlier life may be on its way.
+            on.clock_offset_ms.reset();
+            on.clock_list = on.lists + 1;
+            on_new_life(now, on);
+            if (!on.list_pending) {
+                send_list(now, on);
+            }
+        } else if (added) {
             on.lapse_at = now + m_options.longest_lease + m_options.lapse_margin;
             send_list(now, on);
         }
@@ -83,17 +97,36 @@
 
 void pool::note_clock(time_point now, worker& on, std::int64_t clock_ms)
 {
+    if (on.clock_offset_ms && clock_ms + clock_tolerance.count() < worker_time(now, on)) {
+        on_new_life(now, on);
+    }
     on.clock_offset_ms = clock_ms - steady_ms(now);
     on.clock_noted = now;
 }
 
+// Orders that were meant for an earlier life expire far ahead on a clock that has begun anew, so that they
+// are accepted late and give the greatest lease.
+void pool::on_new_life(time_point now, worker& on)
+{
+    on.life_known = now;
+    on.long_leases_until = now + late_order_time;
+    on.lapse_at = std::max(on.lapse_at, now + lapse_time(now, on));
+}
+
+milliseconds pool::lapse_time(time_point now, const worker& on) const
+{
+    // The clock of a worker that was idle may have begun anew.
+    const bool long_lease = now < on.long_leases_until || now > on.clock_noted + clock_tolerance;
+    return (long_lease ? m_options.longest_lease : m_options.lease) + m_options.lapse_margin;
+}
+
 void pool::send_list(time_point now, worker& on)
 {
     list_order order{{on.entry.id, on.entry.address}, std::nullopt, on.acknowledged, {}, m_options.token};
-    if (on.listed && !on.silent && !on.runs.empty()) {
+    if (on.listed && !on.silent && !on.runs.empty() && on.clock_offset_ms) {
         order.lease_until_ms = worker_time(now + m_options.lease, on);
         order.wait = m_options.list_wait;
-        on.lapse_at = std::max(on.lapse_at, now + m_options.lease + m_options.lapse_margin);
+        on.lapse_at = std::max(on.lapse_at, now + lapse_time(now, on));
     }
     ++on.lists;
     on.list_pending = true;
@@ -111,13 +144,15 @@
     worker& on = position->second;
     if (reply.clock_ms) {
         on.answered = now;
-        note_clock(now, on, *reply.clock_ms);
     }
     const auto found = on.runs.find(reply.task);
     if (found == on.runs.end() || found->second.number != reply.run) {
         return;
     }
     run& item = found->second;
+    if (reply.clock_ms && on.clock_offset_ms && item.sent > on.life_known) {
+        note_clock(now, on, *reply.clock_ms);
+    }
     if (reply.outcome == start_outcome::started) {
         confirm(on, item);
         job* owner = find_job(reply.task.job);
@@ -175,6 +210,7 @@
         return;
     }
     worker& on = position->second;
+    const bool back = on.silent || !on.listed || answer.incarnation != on.incarnation;
     on.list_pending = false;
     on.unanswered_lists = 0;
     if (on.silent) {
@@ -187,9 +223,14 @@
         record(decision::worker_lapsed, {}, answer.worker, "started anew",
                milliseconds(static_cast<std::int64_t>(on.runs.size())));
         on.acknowledged = 0;
+        on_new_life(now, on);
     }
     on.incarnation = answer.incarnation;
-    note_clock(now, on, answer.clock_ms);
+    if (on.lists >= on.clock_list) {
+        note_clock(now, on, answer.clock_ms);
+    } else {
+        on.next_list = now;
+    }
     std::set<task_ref> present;
     std::set<job_id> adopting;
     for (const listed_run& item : answer.running) {
@@ -215,6 +256,9 @@
         }
     }
     on.listed = true;
+    if (back) {
+        close_given_up(on);
+    }
     for (const listed_end& item : answer.ended) {
         if (item.number <= on.acknowledged) {
             continue;
@@ -307,6 +351,9 @@
     const run ended = found->second;
     on.runs.erase(found);
     on.used = on.used.minus(ended.need);
+    if (!ended.shown_since && (ended.stopping || how == run_end::lapsed)) {
+        on.given_up.insert_or_assign(ref, given_up_run{ended.number, now});
+    }
     record(decision::run_ended, ref.job, on.entry.id, std::string(to_string(how)), since(now, ended.sent),
            ended.expected);
     if (how == run_end::done) {
@@ -387,6 +434,14 @@
         stop_order{{on.entry.id, on.entry.address}, item.task, item.number, m_options.token});
 }
 
+void pool::close_given_up(const worker& on)
+{
+    for (const auto& [ref, item] : on.given_up) {
+        m_actions.emplace_back(
+            stop_order{{on.entry.id, on.entry.address}, ref, item.number, m_options.token});
+    }
+}
+
 void pool::check_runs(time_point now, worker& on)
 {
     std::vector<task_ref> stopped;
@@ -420,12 +475,14 @@
     }
     for (auto& [id, on] : m_workers) {
         check_runs(now, on);
+        std::erase_if(on.given_up,
+                      [now](const auto& item) { return now > item.second.at + late_order_time; });
         if ((on.silent || !on.listed) && !on.runs.empty() && now >= on.lapse_at) {
             lapse_all(now, on, "lease lapsed");
             on.listed = false;
         }
-        const bool idle = on.listed && on.runs.empty() && !on.silent && !on.ends_pending &&
-                          now < on.clock_noted + clock_lifetime;
+        const bool clock_known = on.clock_offset_ms && now < on.clock_noted + clock_lifetime;
+        const bool idle = on.listed && on.runs.empty() && !on.silent && !on.ends_pending && clock_known;
         if (!on.list_pending && !idle && now >= on.next_list) {
             send_list(now, on);
         }
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -224,7 +224,7 @@
     created.sent = now;
     on.runs.insert_or_assign(ref, created);
     on.used = on.used.plus(step.need);
-    on.lapse_at = std::max(on.lapse_at, now + m_options.lease + m_options.lapse_margin);
+    on.lapse_at = std::max(on.lapse_at, now + lapse_time(now, on));
     record(decision::started, item.offer.job, on.entry.id, std::to_string(number), created.expected,
            std::chrono::duration_cast<milliseconds>(item.objective_at - now));
     m_actions.emplace_back(start_order{{on.entry.id, on.entry.address},
