instance: call the directory incomplete when workers change pools

Seen by reading: a new division into pools gives a pool to a holder that lists its own half of the workers and takes that for every run of its jobs; the same holds for a worker whose entry names another data centre or service, and for one whose entry another writer has overwritten. A task that runs there under the former holder's lease may start a second time. Change: each of them withdraws completeness for the 30 s that a lapsed worker does, so that uncertain tasks wait for the former leases. Before: three cases of when_a_worker_may_run_on_out_of_sight fail at !complete. After: test_users_platform, 24 cases, no error. Left: the removal of a draining worker keeps the directory complete, as store_link_test asserts, though the entry of one that is cut off from the store goes while it works on.

--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -76,8 +76,12 @@
         return;
     }
     m_vanished.erase(content.key);
-    const bool matters = !is_worker(content.key) || apply_worker(content);
+    const bool matters = !is_worker(content.key) || apply_worker(now, content);
     item& kept = m_items[content.key];
+    // A new division gives pools to holders that do not know what runs on the workers of the other pools.
+    if (m_own.is_layout(content.key) && !kept.content.key.empty() && kept.content.value != content.value) {
+        m_lapsed = now;
+    }
     kept.content = content;
     if (matters) {
         const auto gone = m_removed.find(content.key);
@@ -90,7 +94,7 @@
     }
 }
 
-bool directory::apply_worker(const store_item& content)
+bool directory::apply_worker(time_point now, const store_item& content)
 {
     auto decoded = m_protocol.decode_worker(content.key, content.value);
     const auto known = m_workers.find(content.key);
@@ -98,13 +102,18 @@
         const bool is_new = !m_items.contains(content.key) || known != m_workers.end();
         if (is_new) {
             m_skipped.push_back({content.key, decoded.error().message});
-            m_workers.erase(content.key);
+            // Another writer's entry says nothing about the worker, which runs on.
+            m_lapsed = m_workers.erase(content.key) > 0 ? now : m_lapsed;
         }
         return is_new;
     }
     if (known != m_workers.end() && known->second == decoded.value()) {
         return false;
     }
+    if (known != m_workers.end() && (known->second.service != decoded.value().service ||
+                                     known->second.data_centre != decoded.value().data_centre)) {
+        m_lapsed = now;
+    }
     m_workers.insert_or_assign(content.key, std::move(decoded).value());
     return true;
 }
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -61,8 +61,8 @@
     std::vector<workers::worker_entry> workers() const;
     const own_records& own() const { return m_own; }
     bool contains(const std::string& key) const { return m_items.contains(key); }
-    /// No worker has lapsed lately without having said that it drains, and no call has failed: none that may
-    /// be alive is missing.
+    /// No worker has gone lately without having said that it drains, none has changed its pool, and no call
+    /// has failed: whoever lists the workers of a pool sees every run of its jobs.
     bool complete(time_point now) const;
 
 private:
@@ -73,7 +73,7 @@
 
     void apply(time_point now, const store_item& content);
     /// @returns false if nothing but a sign of life has changed
-    bool apply_worker(const store_item& content);
+    bool apply_worker(time_point now, const store_item& content);
     void remove(time_point now, const store_item& content);
     void drop(time_point now, const std::string& key);
     void keep_only(time_point now, const std::string& prefix, const std::set<std::string>& present);
@@ -97,7 +97,8 @@
     std::uint64_t m_sequence;
     std::uint64_t m_first_sequence;  ///< changes before it are not remembered
     time_point m_failed;
-    time_point m_lapsed;  ///< when a worker went without having said that it drains; the start counts
+    /// When a worker went that may run on, or workers changed pools; the start counts.
+    time_point m_lapsed;
 };
 
 }  // namespace poplarshed::instance
--- a/tests/users_platform/directory_test.cpp
+++ b/tests/users_platform/directory_test.cpp
@@ -39,6 +39,21 @@
     }
 };
 
+/// A worker and the layout of its group, known for long.
+struct complete_fixture : fixture {
+    complete_fixture()
+    {
+        layout = {source.own().layout_key({data_centre_id("ollur"), service_id("s")}),
+                  instance::own_records::value(1), 4, false};
+        source.on_list(now, codec.workers_prefix(), {worker("i-1", 5, 1)});
+        source.on_events(now, {layout});
+        now += seconds(31);
+        BOOST_REQUIRE(source.complete(now));
+    }
+
+    store_item layout;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(directory_of_the_store)
@@ -170,6 +185,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_worker_may_run_on_out_of_sight)
+
+// Each guards against a new holder that starts a task while a worker it does not list runs it under the lease
+// of the former one.
+
+BOOST_AUTO_TEST_CASE(a_worker_whose_entry_is_overwritten_counts_as_missing)
+{
+    complete_fixture f;
+    f.source.on_events(f.now, {{codec.workers_prefix() + "i-1", "{}", 7, false}});
+    f.now += milliseconds(1500);
+    BOOST_TEST(!f.source.complete(f.now));
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_changes_its_data_centre_counts_as_missing)
+{
+    complete_fixture f;
+    store_item moved = worker("i-1", 7, 2);
+    moved.value.replace(moved.value.find("ollur"), 5, "salix");
+    f.source.on_events(f.now, {moved});
+    f.now += milliseconds(1500);
+    BOOST_TEST(!f.source.complete(f.now));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_division_into_pools_is_incomplete)
+{
+    complete_fixture f;
+    store_item layout = f.layout;
+    layout.revision = 9;
+    f.source.on_events(f.now, {layout});
+    BOOST_TEST(f.source.complete(f.now));
+    layout.value = instance::own_records::value(2);
+    layout.revision = 10;
+    f.source.on_events(f.now, {layout});
+    f.now += milliseconds(1500);
+    BOOST_TEST(!f.source.complete(f.now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::users_platform::test
