workers: count an adopted run with the need of its task

Seen by reading: the need of a run that a new holder finds on a worker is a guess (the mean of known runs, or 8,000), and adoption kept it. Where tasks need more, the worker is filled beyond its capacity. Change: adoption sets the need that the job's offer names. Before: takeover/.../an_adopted_run_takes_the_room_of_its_task fails with [2 != 1] starts. After: test_workers, no error. Left: until an owner claims it, at most 600 ms, a run counts with the guess.

--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -121,6 +121,8 @@
                 continue;
             }
             running.orphan = false;
+            on.used = on.used.minus(running.need).plus(step_of(item, number).need);
+            running.need = step_of(item, number).need;
             item.uncertain.erase(number);
             running.estimate = step_of(item, number).estimate;
             running.expected = expected_on(now, on, step_of(item, number));
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -26,6 +26,20 @@
     BOOST_TEST((world.results[0].end == job_end::completed));
 }
 
+// The need of a listed run is a guess until its job is known. Guards against a worker that is filled beyond
+// its capacity.
+BOOST_AUTO_TEST_CASE(an_adopted_run_takes_the_room_of_its_task)
+{
+    pool_fixture world(1, 36'000);
+    world.list(0, {{{job_id("j"), 0, 0}, run_number(5), 0}});
+    job_offer again = pool_fixture::offer("j", 3, milliseconds(900));
+    again.may_have_run = true;
+    again.uncertain_tasks = {0, 1, 2};
+    again.uncertain_for = milliseconds(1100);
+    world.offer_job(again);
+    BOOST_TEST(world.starts.size() == 1U);
+}
+
 // Guards against a second run of a task that has ended under the former holder.
 BOOST_AUTO_TEST_CASE(a_listed_end_counts_for_the_job)
 {
