--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -82,6 +82,10 @@
     m_vanished.erase(content.key);
     const bool matters = !is_worker(content.key) || apply_worker(now, content);
     item& kept = m_items[content.key];
+    // A new division gives pools to holders that do not know what runs on the workers of the other pools.
+    if (m_own.is_layout(content.key) && !kept.content.key.empty() && kept.content.value != content.value) {
+        m_lapsed = now;
+    }
     kept.content = content;
     if (matters) {
         const auto gone = m_removed.find(content.key);
@@ -146,6 +150,10 @@
     if (known != m_workers.end() && known->second == decoded.value()) {
         return false;
     }
+    if (known != m_workers.end() && (known->second.service != decoded.value().service ||
+                                     known->second.data_centre != decoded.value().data_centre)) {
+        m_lapsed = now;
+    }
     m_workers.insert_or_assign(content.key, std::move(decoded).value());
     return true;
 }
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -64,8 +64,8 @@
     std::vector<workers::worker_entry> workers() const;
     const own_records& own() const { return m_own; }
     bool contains(const std::string& key) const { return m_items.contains(key); }
-    /// No worker has lapsed lately without having said that it drains, and no call has failed: none that may
-    /// be alive is missing.
+    /// No worker has gone lately without having said that it drains, none has changed its pool, and no call
+    /// has failed: whoever lists the workers of a pool sees every run of its jobs.
     bool complete(time_point now) const;
 
 private:
@@ -105,7 +105,8 @@
     std::uint64_t m_sequence;
     std::uint64_t m_first_sequence;  ///< changes before it are not remembered
     time_point m_failed;
-    time_point m_lapsed;  ///< when a worker went without having said that it drains; the start counts
+    /// When a worker went that may run on, or workers changed pools; the start counts.
+    time_point m_lapsed;
 };
 
 }  // namespace poplarshed::instance
--- a/tests/workers/pool_fixture.h
+++ b/tests/workers/pool_fixture.h
@@ -67,12 +67,13 @@
         take();
     }
 
-    void list(std::size_t index, std::vector<listed_run> running = {}, std::vector<listed_end> ended = {})
+    void list(std::size_t index, std::vector<listed_run> running = {}, std::vector<listed_end> ended = {},
+              std::uint64_t incarnation = 1, std::int64_t clock_ms = 5000)
     {
         listing answer;
         answer.worker = entry(index).id;
-        answer.incarnation = 1;
-        answer.clock_ms = 5000;
+        answer.incarnation = incarnation;
+        answer.clock_ms = clock_ms;
         answer.running = std::move(running);
         answer.ended = std::move(ended);
         m_pool.on_listing(m_now, answer);
