--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -38,7 +38,8 @@
         std::promise<response> done;
         auto ended = done.get_future();
         client caller({}, [&done](call_id, response answer) { done.set_value(std::move(answer)); });
-        BOOST_REQUIRE(caller.start(call_id(1), std::move(wanted)));
+        const bool started = caller.start(call_id(1), std::move(wanted));
+        BOOST_REQUIRE(started);
         BOOST_REQUIRE((ended.wait_for(seconds(10)) == std::future_status::ready));
         return ended.get();
     }
