--- /dev/null
+++ b/tests/instance/fleet_callers.cpp
@@ -0,0 +1,158 @@
+#include "instance/fleet_callers.h"
+
+#include <utility>
+
+#include "instance/fleet_workers.h"
+
+namespace poplarshed::instance::test {
+
+namespace {
+
+// The users' callers wait this long before they send a job again.
+constexpr milliseconds resend_delay{1300};
+constexpr int most_attempts = 4;
+// A deadline is seen at a tick; the rest is time for the turn.
+constexpr milliseconds answer_slack{100};
+
+routing::route desk_route()
+{
+    routing::route target;
+    target.name = "desk";
+    target.service = service_id("desk");
+    target.max_attempts = 3;
+    target.stretch = 1.6;
+    target.allowance = milliseconds(150);
+    return target;
+}
+
+}  // namespace
+
+void virtual_callers::send_job()
+{
+    const std::string id = "j" + std::to_string(m_jobs.size() + 1);
+    job added;
+    added.content.job = workers::job_id(id);
+    const milliseconds work = m_time.between(milliseconds(60), milliseconds(900));
+    added.content.payload = std::to_string(work.count());
+    added.content.time_limit = work * 2 + m_time.between(milliseconds(1000), milliseconds(6000));
+    added.content.steps.resize(1);
+    added.content.steps[0].tasks = 1 + static_cast<std::uint32_t>(m_time.below(8));
+    added.content.steps[0].need = {virtual_workers::task_cpu, 64, 0};
+    added.content.steps[0].estimate = work;
+    m_jobs.emplace(id, std::move(added));
+    submit(id);
+}
+
+void virtual_callers::submit(const std::string& id)
+{
+    job& item = m_jobs.at(id);
+    const routing::caller_id caller(++m_last_caller);
+    const auto instance = m_events.submit(caller, desk_route(), item.content);
+    if (!instance) {
+        submit_later(id, milliseconds(200));
+        return;
+    }
+    ++item.attempts;
+    item.open = attempt{caller, *instance, m_time.now(), m_events.paused_time(*instance)};
+    m_time.note(id, "caller " + std::to_string(caller.value()) + " sends " +
+                        std::to_string(item.content.steps[0].tasks) + " tasks of " + item.content.payload +
+                        " ms to instance " + std::to_string(*instance) + ", limit " +
+                        std::to_string(item.content.time_limit.count()));
+}
+
+void virtual_callers::submit_later(const std::string& id, milliseconds delay)
+{
+    m_time.after(delay, [this, id] { submit(id); });
+}
+
+void virtual_callers::give_up_one()
+{
+    std::vector<std::string> waiting;
+    for (const auto& [id, item] : m_jobs) {
+        if (item.open) {
+            waiting.push_back(id);
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    job& item = m_jobs.at(waiting.at(m_time.below(waiting.size())));
+    m_time.note(item.content.job.value(), "the caller leaves");
+    m_events.leave(item.open->instance, item.open->caller);
+    item.open.reset();
+    item.only_refused = false;
+    item.ended = true;
+}
+
+void virtual_callers::on_answer(std::size_t at, const routing::answer_caller& value)
+{
+    using routing::answer_kind;
+    const std::string& id = value.job.value();
+    job& item = m_jobs.at(id);
+    m_time.note(id, "caller " + std::to_string(value.caller.value()) + " gets answer " +
+                        std::to_string(static_cast<int>(value.kind)) + " " +
+                        std::string(to_string(value.reason)));
+    if (item.ended && !item.open) {
+        return;  // the caller has left; its instance has not heard of it yet
+    }
+    if (!item.open || item.open->caller != value.caller || item.open->instance != at) {
+        m_events.broken_rule(id, "an answer to a request that has one");
+        return;
+    }
+    ++m_answers.at(static_cast<std::size_t>(value.kind));
+    const attempt ended = *std::exchange(item.open, std::nullopt);
+    const auto waited = std::chrono::duration_cast<milliseconds>(m_time.now() - ended.sent);
+    const milliseconds paused = m_events.paused_time(at) - ended.paused;
+    if (waited > item.content.time_limit + answer_slack + paused) {
+        m_events.broken_rule(id, "an answer after " + std::to_string(waited.count()) + " ms");
+    }
+    item.only_refused = item.only_refused && value.kind == answer_kind::refused;
+    if (value.kind == answer_kind::unknown_end && item.attempts < most_attempts) {
+        submit_later(id, resend_delay);
+        return;
+    }
+    item.ended = true;
+    check_refusal(id);
+}
+
+void virtual_callers::check_refusal(const std::string& id)
+{
+    const job& item = m_jobs.at(id);
+    if (item.ended && item.only_refused && item.started) {
+        m_events.broken_rule(id, "refused, and a task has started");
+    }
+}
+
+void virtual_callers::on_killed(std::size_t instance)
+{
+    for (auto& [id, item] : m_jobs) {
+        if (!item.open || item.open->instance != instance) {
+            continue;
+        }
+        item.open.reset();
+        item.only_refused = false;
+        m_time.note(id, "the caller's connection breaks");
+        if (item.attempts < most_attempts) {
+            submit_later(id, resend_delay);
+        } else {
+            item.ended = true;
+        }
+    }
+}
+
+void virtual_callers::on_started(const workers::task_ref& task, const std::string& /*worker*/)
+{
+    m_jobs.at(task.job.value()).started = true;
+    check_refusal(task.job.value());
+}
+
+void virtual_callers::check_answered()
+{
+    for (const auto& [id, item] : m_jobs) {
+        if (!item.ended) {
+            m_events.broken_rule(id, "no answer");
+        }
+    }
+}
+
+}  // namespace poplarshed::instance::test
--- /dev/null
+++ b/tests/instance/fleet_callers.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <set>
+
+#include "instance/fleet_time.h"
+#include "routing/routing.h"
+
+namespace poplarshed::instance::test {
+
+/// Callers that send jobs, and send them again after a broken connection or an unknown end; they judge the
+/// answers by the rules.
+class virtual_callers {
+public:
+    struct receivers {
+        /// @returns the instance that took the request; nothing if there is none
+        std::function<std::optional<std::size_t>(routing::caller_id, const routing::route&,
+                                                 const routing::caller_job&)>
+            submit;
+        std::function<void(std::size_t at, routing::caller_id)> leave;
+        std::function<milliseconds(std::size_t at)> paused_time;
+        std::function<void(const std::string& job, const std::string& what)> broken_rule;
+    };
+
+    virtual_callers(virtual_time& time, receivers events) : m_time(time), m_events(std::move(events)) {}
+
+    void send_job();
+    /// One caller of those that wait closes its connection.
+    void give_up_one();
+    void on_answer(std::size_t at, const routing::answer_caller& value);
+    void on_killed(std::size_t instance);
+    void on_started(const workers::task_ref& task, const std::string& worker);
+    /// Breaks a rule for each job without an answer.
+    void check_answered();
+    std::size_t answers(routing::answer_kind kind) const { return m_answers.at(static_cast<std::size_t>(kind)); }
+    std::size_t sent() const { return m_jobs.size(); }
+
+private:
+    struct attempt {
+        routing::caller_id caller;
+        std::size_t instance = 0;
+        time_point sent;
+        milliseconds paused{};  ///< of the instance so far
+    };
+
+    struct job {
+        routing::caller_job content;
+        std::optional<attempt> open;
+        int attempts = 0;
+        bool started = false;
+        bool only_refused = true;  ///< so far, and there was an answer
+        bool ended = false;
+    };
+
+    void submit(const std::string& id);
+    void submit_later(const std::string& id, milliseconds delay);
+    void check_refusal(const std::string& id);
+
+    virtual_time& m_time;
+    receivers m_events;
+    std::map<std::string, job> m_jobs;
+    std::uint64_t m_last_caller = 0;
+    std::array<std::size_t, routing::answer_kind_count> m_answers{};
+};
+
+}  // namespace poplarshed::instance::test
--- /dev/null
+++ b/tests/instance/fleet_schedules_test.cpp
@@ -0,0 +1,161 @@
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "instance/fleet_world.h"
+
+namespace poplarshed::instance::test {
+
+namespace {
+
+constexpr std::uint64_t default_first_seed = 1;
+constexpr std::uint64_t default_seeds = 100;
+constexpr int steps = 70;
+// Pools are held and every worker is listed by then.
+constexpr milliseconds warm_up{1500};
+// The longest time limit and four attempts of a caller, and the latest of the deferred orders.
+constexpr milliseconds calm{14'000};
+
+std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
+{
+    const char* text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+milliseconds fault_length(virtual_time& time)
+{
+    return time.between(milliseconds(100), milliseconds(2500));
+}
+
+void disturb_orders(virtual_fleet& fleet)
+{
+    virtual_time& time = fleet.time();
+    order_faults& faults = fleet.workers().faults(time.below(fleet.workers().size()));
+    faults = {};
+    if (time.chance(0.4)) {
+        return;
+    }
+    faults.lost = time.chance(0.5) ? 0.1 : 0;
+    faults.late_answer = time.chance(0.5) ? 0.2 : 0;
+    faults.doubled = time.chance(0.3) ? 0.2 : 0;
+    faults.deferred = time.chance(0.5) ? 0.2 : 0;
+    faults.slow_down = time.chance(0.2) ? milliseconds(60) : milliseconds(0);
+}
+
+void disturb_links(virtual_fleet& fleet)
+{
+    virtual_time& time = fleet.time();
+    const std::size_t one = time.below(fleet.size());
+    const std::size_t other = (one + 1 + time.below(fleet.size() - 1)) % fleet.size();
+    const milliseconds length = fault_length(time);
+    const std::uint64_t kind = time.below(10);
+    if (kind < 2) {
+        fleet.cut(one, other, length);
+    } else if (kind < 5) {
+        fleet.cut(one, other, length);
+        fleet.cut(other, one, length);
+    } else if (kind < 8) {
+        fleet.cut_off_instance(one, length);
+    } else {
+        fleet.slow_down(one, other, time.between(milliseconds(20), milliseconds(300)), length);
+    }
+}
+
+void disturb_processes(virtual_fleet& fleet)
+{
+    virtual_time& time = fleet.time();
+    const std::uint64_t kind = time.below(10);
+    if (kind < 5) {
+        fleet.pause(time.below(fleet.size()), fault_length(time));
+    } else if (kind < 8) {
+        fleet.kill(time.below(fleet.size()), time.between(milliseconds(300), milliseconds(3000)));
+    } else {
+        const bool leases_pause = time.chance(0.5);
+        fleet.store().go_away(time.between(milliseconds(500), milliseconds(5000)), leases_pause);
+        time.note({}, "FAULT store away");
+    }
+}
+
+void disturb_workers(virtual_fleet& fleet)
+{
+    virtual_time& time = fleet.time();
+    const std::size_t index = time.below(fleet.workers().size());
+    const std::uint64_t kind = time.below(10);
+    if (kind < 5) {
+        disturb_orders(fleet);
+    } else if (kind < 8) {
+        fleet.cut_off_worker(index, time.between(milliseconds(100), milliseconds(3500)));
+    } else {
+        fleet.crash_worker(index, time.between(milliseconds(50), milliseconds(3000)));
+    }
+}
+
+void run_step(virtual_fleet& fleet)
+{
+    const std::uint64_t event = fleet.time().below(100);
+    if (event < 55) {
+        fleet.callers().send_job();
+    } else if (event < 70) {
+        disturb_links(fleet);
+    } else if (event < 81) {
+        disturb_processes(fleet);
+    } else if (event < 97) {
+        disturb_workers(fleet);
+    } else {
+        fleet.callers().give_up_one();
+    }
+}
+
+struct outcome {
+    std::vector<std::string> violations;
+    fleet_coverage coverage;
+    int step = 0;
+};
+
+outcome run_schedule(std::uint64_t seed)
+{
+    virtual_fleet fleet(seed, 2 + seed % 2);
+    fleet.advance(warm_up);
+    int step = 0;
+    while (step < steps && fleet.violations().empty()) {
+        ++step;
+        run_step(fleet);
+        fleet.advance(fleet.time().between({}, milliseconds(250)));
+    }
+    for (std::size_t i = 0; i < fleet.workers().size(); ++i) {
+        fleet.workers().faults(i) = {};
+    }
+    fleet.advance(calm);
+    if (fleet.violations().empty()) {
+        fleet.check_end();
+    }
+    return {fleet.violations(), fleet.coverage(), step};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_schedules)
+
+// Guards against two runs of a task at one time, refusals after a start, and jobs that get no answer, in cuts,
+// pauses, ends and restarts of instances and workers that overlap.
+BOOST_AUTO_TEST_CASE(no_random_schedule_breaks_a_rule)
+{
+    const std::uint64_t first = number_from("POPLARSHED_FIRST_SEED", default_first_seed);
+    const std::uint64_t last = first + number_from("POPLARSHED_SCHEDULE_SEEDS", default_seeds);
+    fleet_coverage coverage;
+    for (std::uint64_t seed = first; seed < last; ++seed) {
+        const outcome ended = run_schedule(seed);
+        coverage.add(ended.coverage);
+        BOOST_TEST(ended.violations.empty(),
+                   "seed " << seed << ", step " << ended.step << ": "
+                           << (ended.violations.empty() ? "" : ended.violations.front()));
+    }
+    BOOST_TEST_MESSAGE("jobs " << coverage.jobs << ", completed " << coverage.completed << ", refused "
+                               << coverage.refused << ", unknown " << coverage.unknown << ", starts "
+                               << coverage.starts);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::instance::test
--- /dev/null
+++ b/tests/instance/fleet_store.cpp
@@ -0,0 +1,84 @@
+#include "instance/fleet_store.h"
+
+#include <utility>
+
+namespace poplarshed::instance::test {
+
+namespace {
+
+constexpr milliseconds lease_time{1300};
+constexpr milliseconds call_timeout{700};
+constexpr milliseconds greatest_delay{8};
+constexpr double lost_answers = 0.03;
+
+}  // namespace
+
+void virtual_store::publish(routing::pool_map directory)
+{
+    m_directory = std::make_shared<routing::pool_map>(std::move(directory));
+}
+
+void virtual_store::go_away(milliseconds length, bool leases_pause)
+{
+    m_away_until = std::max(m_away_until, m_time.now() + length);
+    for (auto& [owner, until] : m_leases) {
+        until += leases_pause ? length : milliseconds(0);
+    }
+}
+
+void virtual_store::read(session from, std::function<void(store_view)> answer)
+{
+    if (is_away()) {
+        return;
+    }
+    m_leases[from] = std::max(m_leases[from], m_time.now() + lease_time);
+    store_view view;
+    view.directory = m_directory;
+    for (const auto& [pool, kept] : m_items) {
+        view.records.emplace(pool, kept.record);
+    }
+    m_time.after(m_time.between(milliseconds(1), greatest_delay),
+                 [answer = std::move(answer), view = std::move(view)] { answer(view); });
+}
+
+void virtual_store::claim(session from, const endpoint& holder, const routing::claim_pool& wanted,
+                          std::function<void(std::optional<std::uint64_t>)> answer)
+{
+    const bool answered = !m_time.chance(lost_answers);
+    m_time.after(m_time.between(milliseconds(1), greatest_delay),
+                 [this, from, holder, wanted, answered, answer = std::move(answer)] {
+                     const bool away = is_away();
+                     const auto revision = away ? std::nullopt : write(from, holder, wanted);
+                     if (away || !answered) {
+                         m_time.after(call_timeout, [answer] { answer(std::nullopt); });
+                     } else {
+                         m_time.after(m_time.between(milliseconds(1), greatest_delay),
+                                      [answer, revision] { answer(revision); });
+                     }
+                 });
+}
+
+std::optional<std::uint64_t> virtual_store::write(session from, const endpoint& holder,
+                                                  const routing::claim_pool& wanted)
+{
+    const auto known = m_items.find(wanted.pool);
+    const std::uint64_t current = known == m_items.end() ? 0 : known->second.record.revision;
+    if (current != wanted.expected_revision || !m_leases.contains(from)) {
+        return std::nullopt;
+    }
+    m_items.insert_or_assign(wanted.pool, item{{holder, ++m_revision}, from});
+    return m_revision;
+}
+
+void virtual_store::step()
+{
+    if (is_away()) {
+        return;
+    }
+    std::erase_if(m_leases, [this](const auto& lease) { return m_time.now() > lease.second; });
+    const auto removed =
+        std::erase_if(m_items, [this](const auto& kept) { return !m_leases.contains(kept.second.owner); });
+    m_revision += removed;
+}
+
+}  // namespace poplarshed::instance::test
--- /dev/null
+++ b/tests/instance/fleet_world.cpp
@@ -0,0 +1,257 @@
+#include "instance/fleet_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarshed::instance::test {
+
+namespace {
+
+// Workers write to the store each 500 ms; the store forgets one that has been silent three times as long.
+constexpr milliseconds entry_lapse{1500};
+constexpr milliseconds greatest_wall_offset{2000};
+
+std::vector<std::string> names_of(std::size_t data_centres)
+{
+    const std::vector<std::string> all{"adur", "bera", "cala"};
+    return {all.begin(), all.begin() + static_cast<std::ptrdiff_t>(data_centres)};
+}
+
+}  // namespace
+
+void fleet_coverage::add(const fleet_coverage& other)
+{
+    jobs += other.jobs;
+    completed += other.completed;
+    refused += other.refused;
+    unknown += other.unknown;
+    starts += other.starts;
+}
+
+virtual_fleet::virtual_fleet(std::uint64_t seed, std::size_t data_centres)
+    : m_time(seed),
+      m_data_centres(names_of(data_centres)),
+      m_instances(data_centres * instances_in_each),
+      m_lives(data_centres * instances_in_each),
+      m_worker_cuts(data_centres * workers_in_each),
+      m_store(m_time),
+      m_workers(m_time, m_data_centres, workers_in_each, worker_events()),
+      m_links(m_time, data_centres * instances_in_each, link_events()),
+      m_callers(m_time, caller_events())
+{
+    for (const std::string& centre : m_data_centres) {
+        for (std::size_t i = 0; i < instances_in_each; ++i) {
+            instance_identity added;
+            added.index = m_identities.size();
+            added.address = endpoint(centre + "-" + std::to_string(i));
+            added.data_centre = data_centre_id(centre);
+            added.clock_offset = m_time.between(milliseconds(0), milliseconds(500'000));
+            added.wall_offset = m_time.between(-greatest_wall_offset, greatest_wall_offset);
+            m_addresses.push_back(added.address);
+            m_identities.push_back(std::move(added));
+        }
+    }
+    m_store.publish(m_workers.directory());
+    const bool knows_all_workers = m_time.chance(0.6);
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        start_instance(i, knows_all_workers);
+    }
+}
+
+void virtual_fleet::start_instance(std::size_t index, bool knows_all_workers)
+{
+    m_instances.at(index) = std::make_shared<virtual_instance>(
+        m_identities.at(index), ++m_lives.at(index), knows_all_workers,
+        instance_surroundings{m_time, m_links, m_workers, m_store, m_addresses,
+                              [this](std::size_t at, const routing::answer_caller& value) {
+                                  m_callers.on_answer(at, value);
+                              }});
+}
+
+virtual_links::receivers virtual_fleet::link_events()
+{
+    virtual_links::receivers events;
+    events.arrived = [this](std::size_t to, std::size_t from, fleet_message message) {
+        m_instances.at(to)->receive(from, std::move(message));
+    };
+    events.closed = [this](std::size_t at, std::size_t peer) { m_instances.at(at)->on_closed(peer); };
+    events.is_alive = [this](std::size_t index) { return is_alive(index); };
+    return events;
+}
+
+virtual_workers::receivers virtual_fleet::worker_events()
+{
+    virtual_workers::receivers events;
+    events.started = [this](const workers::task_ref& task, const std::string& worker) {
+        ++m_starts;
+        m_callers.on_started(task, worker);
+    };
+    events.broken_rule = [this](const std::string& job, const std::string& what) { break_rule(job, what); };
+    events.directory_changed = [this] { m_store.publish(m_workers.directory()); };
+    return events;
+}
+
+virtual_callers::receivers virtual_fleet::caller_events()
+{
+    virtual_callers::receivers events;
+    events.submit = [this](routing::caller_id caller, const routing::route& target,
+                           const routing::caller_job& job) { return submit(caller, target, job); };
+    events.leave = [this](std::size_t at, routing::caller_id caller) {
+        m_instances.at(at)->on_caller_left(caller);
+    };
+    events.paused_time = [this](std::size_t at) { return m_instances.at(at)->paused_time(); };
+    events.broken_rule = [this](const std::string& job, const std::string& what) { break_rule(job, what); };
+    return events;
+}
+
+std::optional<std::size_t> virtual_fleet::submit(routing::caller_id caller, const routing::route& target,
+                                                 const routing::caller_job& job)
+{
+    std::vector<std::size_t> alive;
+    for (std::size_t i = 0; i < size(); ++i) {
+        if (is_alive(i)) {
+            alive.push_back(i);
+        }
+    }
+    if (alive.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t chosen = alive.at(m_time.below(alive.size()));
+    m_instances.at(chosen)->submit(caller, target, job);
+    return chosen;
+}
+
+void virtual_fleet::break_rule(const std::string& job, const std::string& what)
+{
+    m_violations.push_back(std::to_string(m_time.elapsed().count()) + " ms " + what + ", job " + job +
+                           m_time.history(job));
+}
+
+void virtual_fleet::advance(milliseconds time)
+{
+    const time_point until = m_time.now() + time;
+    while (m_time.now() < until && m_violations.empty()) {
+        m_time.step();
+        m_workers.step();
+        m_store.step();
+        for (const auto& instance : m_instances) {
+            if (instance != nullptr) {
+                instance->turn();
+            }
+        }
+    }
+}
+
+void virtual_fleet::note_fault(const std::string& text, milliseconds length)
+{
+    m_time.note({}, "FAULT " + text + " for " + std::to_string(length.count()) + " ms");
+}
+
+void virtual_fleet::cut(std::size_t from, std::size_t to, milliseconds length)
+{
+    note_fault("cut from " + name(from) + " to " + name(to), length);
+    m_links.cut(from, to, length);
+}
+
+void virtual_fleet::cut_off_instance(std::size_t index, milliseconds length)
+{
+    note_fault("cut of " + name(index) + " from all others", length);
+    for (std::size_t other = 0; other < size(); ++other) {
+        if (other != index) {
+            m_links.cut(index, other, length);
+            m_links.cut(other, index, length);
+        }
+    }
+}
+
+void virtual_fleet::slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length)
+{
+    note_fault("delay from " + name(from) + " to " + name(to) + " of " + std::to_string(extra.count()) + " ms",
+               length);
+    m_links.slow_down(from, to, extra, length);
+}
+
+void virtual_fleet::pause(std::size_t index, milliseconds length)
+{
+    if (is_alive(index)) {
+        note_fault("pause of " + name(index), length);
+        m_instances.at(index)->pause(length);
+    }
+}
+
+void virtual_fleet::kill(std::size_t index, milliseconds until_start)
+{
+    if (!is_alive(index)) {
+        return;
+    }
+    note_fault("end of " + name(index), until_start);
+    m_instances.at(index).reset();
+    m_links.on_killed(index);
+    m_callers.on_killed(index);
+    m_time.after(until_start, [this, index] {
+        m_time.note({}, "start of " + name(index));
+        start_instance(index, false);
+        m_links.on_started(index);
+    });
+}
+
+void virtual_fleet::cut_off_worker(std::size_t index, milliseconds length)
+{
+    // From all instances and at times the store, or only from the instances of one data centre.
+    std::set<std::size_t> instances;
+    const std::size_t centre = m_time.below(m_data_centres.size() * 2);
+    for (std::size_t i = 0; i < size(); ++i) {
+        if (centre >= m_data_centres.size() || i / instances_in_each == centre) {
+            instances.insert(i);
+        }
+    }
+    note_fault("cut of worker " + std::to_string(index) + " from " + std::to_string(instances.size()) +
+                   " instances",
+               length);
+    const bool from_store = m_time.chance(0.4);
+    m_workers.cut_off(index, std::move(instances));
+    const std::uint64_t number = ++m_worker_cuts.at(index);
+    if (from_store && length > entry_lapse) {
+        m_time.after(entry_lapse, [this, index, number] {
+            if (m_worker_cuts.at(index) == number) {
+                m_workers.listed(index, false);
+            }
+        });
+    }
+    m_time.after(length, [this, index, number] {
+        if (m_worker_cuts.at(index) == number) {
+            m_workers.cut_off(index, {});
+            m_workers.listed(index, m_workers.is_up(index));
+        }
+    });
+}
+
+void virtual_fleet::crash_worker(std::size_t index, milliseconds until_start)
+{
+    if (!m_workers.is_up(index)) {
+        return;
+    }
+    note_fault("crash of worker " + std::to_string(index), until_start);
+    m_workers.crash(index);
+    if (until_start > entry_lapse) {
+        m_time.after(entry_lapse, [this, index] { m_workers.listed(index, m_workers.is_up(index)); });
+    }
+    m_time.after(until_start, [this, index] { m_workers.come_back(index); });
+}
+
+void virtual_fleet::check_end()
+{
+    m_callers.check_answered();
+    for (const std::string& job : m_workers.runs()) {
+        break_rule(job, "a run that nobody asked for");
+    }
+}
+
+fleet_coverage virtual_fleet::coverage() const
+{
+    using routing::answer_kind;
+    return {m_callers.sent(), m_callers.answers(answer_kind::completed),
+            m_callers.answers(answer_kind::refused), m_callers.answers(answer_kind::unknown_end), m_starts};
+}
+
+}  // namespace poplarshed::instance::test
--- /dev/null
+++ b/tests/instance/fleet_world.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "instance/fleet_callers.h"
+#include "instance/fleet_instance.h"
+
+namespace poplarshed::instance::test {
+
+/// What a schedule has reached, to show that it covers the cases that matter.
+struct fleet_coverage {
+    std::size_t jobs = 0;
+    std::size_t completed = 0;
+    std::size_t refused = 0;
+    std::size_t unknown = 0;
+    std::size_t starts = 0;
+
+    void add(const fleet_coverage& other);
+};
+
+/// Instances of several data centres with their links, workers, store and callers.
+class virtual_fleet {
+public:
+    static constexpr std::size_t instances_in_each = 2;
+    static constexpr std::size_t workers_in_each = 3;
+
+    virtual_fleet(std::uint64_t seed, std::size_t data_centres);
+
+    void advance(milliseconds time);
+    virtual_time& time() { return m_time; }
+    virtual_callers& callers() { return m_callers; }
+    virtual_workers& workers() { return m_workers; }
+    virtual_store& store() { return m_store; }
+    std::size_t size() const { return m_identities.size(); }
+    bool is_alive(std::size_t index) const { return m_instances.at(index) != nullptr; }
+
+    void cut(std::size_t from, std::size_t to, milliseconds length);
+    void cut_off_instance(std::size_t index, milliseconds length);
+    void slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length);
+    void pause(std::size_t index, milliseconds length);
+    void kill(std::size_t index, milliseconds until_start);
+    void cut_off_worker(std::size_t index, milliseconds length);
+    void crash_worker(std::size_t index, milliseconds until_start);
+
+    /// Breaks a rule for what is left when every job has ended.
+    void check_end();
+    /// Each with the history of its job.
+    const std::vector<std::string>& violations() const { return m_violations; }
+    fleet_coverage coverage() const;
+
+private:
+    void start_instance(std::size_t index, bool knows_all_workers);
+    std::optional<std::size_t> submit(routing::caller_id caller, const routing::route& target,
+                                      const routing::caller_job& job);
+    virtual_links::receivers link_events();
+    virtual_workers::receivers worker_events();
+    virtual_callers::receivers caller_events();
+    void break_rule(const std::string& job, const std::string& what);
+    void note_fault(const std::string& text, milliseconds length);
+    const std::string& name(std::size_t index) const { return m_addresses.at(index).value(); }
+
+    virtual_time m_time;
+    std::vector<std::string> m_data_centres;
+    std::vector<instance_identity> m_identities;
+    std::vector<endpoint> m_addresses;
+    std::vector<std::shared_ptr<virtual_instance>> m_instances;
+    std::vector<std::uint64_t> m_lives;
+    std::vector<std::uint64_t> m_worker_cuts;
+    virtual_store m_store;
+    virtual_workers m_workers;
+    virtual_links m_links;
+    virtual_callers m_callers;
+    std::size_t m_starts = 0;
+    std::vector<std::string> m_violations;
+};
+
+}  // namespace poplarshed::instance::test
