--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -1,5 +1,6 @@
 #include "instance/fleet_callers.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "instance/fleet_workers.h"
@@ -146,6 +147,11 @@
     check_refusal(task.job.value());
 }
 
+bool virtual_callers::all_ended() const
+{
+    return std::all_of(m_jobs.begin(), m_jobs.end(), [](const auto& item) { return item.second.ended; });
+}
+
 void virtual_callers::check_answered()
 {
     for (const auto& [id, item] : m_jobs) {
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -31,6 +31,7 @@
     void on_answer(std::size_t at, const routing::answer_caller& value);
     void on_killed(std::size_t instance);
     void on_started(const workers::task_ref& task, const std::string& worker);
+    bool all_ended() const;
     /// Breaks a rule for each job without an answer.
     void check_answered();
     std::size_t answers(routing::answer_kind kind) const { return m_answers.at(static_cast<std::size_t>(kind)); }
--- a/tests/instance/fleet_instance.cpp
+++ b/tests/instance/fleet_instance.cpp
@@ -1,5 +1,6 @@
 #include "instance/fleet_instance.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarshed::instance::test {
@@ -58,6 +59,9 @@
         return;
     }
     const time_point now = local_time();
+    if (m_inbox.empty() && now < std::min({m_next_tick, m_next_status, m_next_ownership})) {
+        return;
+    }
     set_wall_time(m_world.time.now(), m_identity.wall_offset);
     check_for_pause(now);
     for (event& item : std::exchange(m_inbox, {})) {
