--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -30,25 +30,37 @@
 
 void virtual_callers::send_job()
 {
-    const std::string id = "j" + std::to_string(m_jobs.size() + 1);
+    const milliseconds work = m_time.between(milliseconds(60), milliseconds(900));
+    const milliseconds limit = work * 2 + m_time.between(milliseconds(1000), milliseconds(6000));
+    submit(add(1 + static_cast<std::uint32_t>(m_time.below(8)), work, limit));
+}
+
+void virtual_callers::send_job(std::size_t instance, std::uint32_t tasks, milliseconds work,
+                               milliseconds time_limit)
+{
+    submit(add(tasks, work, time_limit), instance);
+}
+
+std::string virtual_callers::add(std::uint32_t tasks, milliseconds work, milliseconds time_limit)
+{
+    std::string id = "j" + std::to_string(m_jobs.size() + 1);
     job added;
     added.content.job = workers::job_id(id);
-    const milliseconds work = m_time.between(milliseconds(60), milliseconds(900));
     added.content.payload = std::to_string(work.count());
-    added.content.time_limit = work * 2 + m_time.between(milliseconds(1000), milliseconds(6000));
+    added.content.time_limit = time_limit;
     added.content.steps.resize(1);
-    added.content.steps[0].tasks = 1 + static_cast<std::uint32_t>(m_time.below(8));
+    added.content.steps[0].tasks = tasks;
     added.content.steps[0].need = {virtual_workers::task_cpu, 64, 0};
     added.content.steps[0].estimate = work;
     m_jobs.emplace(id, std::move(added));
-    submit(id);
+    return id;
 }
 
-void virtual_callers::submit(const std::string& id)
+void virtual_callers::submit(const std::string& id, std::optional<std::size_t> to)
 {
     job& item = m_jobs.at(id);
     const routing::caller_id caller(++m_last_caller);
-    const auto instance = m_events.submit(caller, desk_route(), item.content);
+    const auto instance = m_events.submit(to, caller, desk_route(), item.content);
     if (!instance) {
         submit_later(id, milliseconds(200));
         return;
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -14,9 +14,10 @@
 class virtual_callers {
 public:
     struct receivers {
-        /// @returns the instance that took the request; nothing if there is none
-        std::function<std::optional<std::size_t>(routing::caller_id, const routing::route&,
-                                                 const routing::caller_job&)>
+        /// Sends to the given instance, or any. @returns the one that took the request; nothing if there is
+        /// none
+        std::function<std::optional<std::size_t>(std::optional<std::size_t> to, routing::caller_id,
+                                                 const routing::route&, const routing::caller_job&)>
             submit;
         std::function<void(std::size_t at, routing::caller_id)> leave;
         std::function<milliseconds(std::size_t at)> paused_time;
@@ -26,6 +27,8 @@
     virtual_callers(virtual_time& time, receivers events) : m_time(time), m_events(std::move(events)) {}
 
     void send_job();
+    /// A job of one shape, sent to one instance first.
+    void send_job(std::size_t instance, std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     /// One caller of those that wait closes its connection.
     void give_up_one();
     void on_answer(std::size_t at, const routing::answer_caller& value);
@@ -34,7 +37,10 @@
     bool all_ended() const;
     /// Breaks a rule for each job without an answer.
     void check_answered();
-    std::size_t answers(routing::answer_kind kind) const { return m_answers.at(static_cast<std::size_t>(kind)); }
+    std::size_t answers(routing::answer_kind kind) const
+    {
+        return m_answers.at(static_cast<std::size_t>(kind));
+    }
     std::size_t sent() const { return m_jobs.size(); }
 
 private:
@@ -54,7 +60,8 @@
         bool ended = false;
     };
 
-    void submit(const std::string& id);
+    std::string add(std::uint32_t tasks, milliseconds work, milliseconds time_limit);
+    void submit(const std::string& id, std::optional<std::size_t> to = {});
     void submit_later(const std::string& id, milliseconds delay);
     void check_refusal(const std::string& id);
 
--- a/tests/instance/fleet_instance.cpp
+++ b/tests/instance/fleet_instance.cpp
@@ -28,6 +28,15 @@
     return true;
 }
 
+// Offer numbers come from the time of day, as in the daemon.
+routing::router_options options_of(time_point now, milliseconds wall_offset)
+{
+    set_wall_time(now, wall_offset);
+    routing::router_options options;
+    options.first_offer = wall_microseconds();
+    return options;
+}
+
 }  // namespace
 
 virtual_instance::virtual_instance(instance_identity identity, std::uint64_t life, bool knows_all_workers,
@@ -36,7 +45,7 @@
       m_life(life),
       m_world(std::move(surroundings)),
       m_peers(m_identity.address, m_identity.data_centre),
-      m_router({}, m_peers, local_time()),
+      m_router(options_of(m_world.time.now(), m_identity.wall_offset), m_peers, local_time()),
       m_pools({m_identity.address, m_identity.cpu_milli}, *this, local_time()),
       m_worker_lapsed(knows_all_workers ? local_time() - lapse_memory : local_time())
 {
@@ -205,13 +214,14 @@
 
 void virtual_instance::send_order(pending_order order)
 {
-    m_world.workers.send(m_identity.index, order, [self = weak_from_this(), order](const order_answer& answer) {
-        if (const auto alive = self.lock()) {
-            alive->push([raw = alive.get(), order, answer](time_point at) {
-                raw->finish_order(at, order, answer);
-            });
-        }
-    });
+    m_world.workers.send(m_identity.index, order,
+                         [self = weak_from_this(), order](const order_answer& answer) {
+                             if (const auto alive = self.lock()) {
+                                 alive->push([raw = alive.get(), order, answer](time_point at) {
+                                     raw->finish_order(at, order, answer);
+                                 });
+                             }
+                         });
 }
 
 void virtual_instance::finish_order(time_point now, const pending_order& order, const order_answer& answer)
--- a/tests/instance/fleet_messages.cpp
+++ b/tests/instance/fleet_messages.cpp
@@ -49,8 +49,8 @@
     push_frame([this, from, arrived, message = std::move(message)](time_point now) mutable {
         const std::string job = job_of(message);
         if (!job.empty()) {
-            note(job, "gets " + text_of(message) + " of " + m_world.addresses.at(from).value() + ", arrived " +
-                          std::to_string(arrived.count()));
+            note(job, "gets " + text_of(message) + " of " + m_world.addresses.at(from).value() +
+                          ", arrived " + std::to_string(arrived.count()));
         }
         deliver(now, from, message);
     });
@@ -88,7 +88,8 @@
                                  {},
                                  {},
                                  message.may_have_run,
-                                 message.uncertain_tasks});
+                                 message.uncertain_tasks,
+                                 message.number});
     }
 }
 
@@ -148,8 +149,8 @@
 void virtual_instance::log(time_point /*now*/, const workers::decision_record& record,
                            const routing::pool_id& pool)
 {
-    note(record.job.value(), "pool " + pool.value() + " " + std::string(workers::to_string(record.what)) + " " +
-                                 record.worker.value() + " " + record.detail);
+    note(record.job.value(), "pool " + pool.value() + " " + std::string(workers::to_string(record.what)) +
+                                 " " + record.worker.value() + " " + record.detail);
 }
 
 void virtual_instance::log_hold(std::string_view what, const routing::pool_id& pool, std::string_view cause)
--- a/tests/instance/fleet_schedules_test.cpp
+++ b/tests/instance/fleet_schedules_test.cpp
@@ -147,8 +147,8 @@
 
 BOOST_AUTO_TEST_SUITE(fleet_schedules)
 
-// Guards against two runs of a task at one time, refusals after a start, and jobs that get no answer, in cuts,
-// pauses, ends and restarts of instances and workers that overlap.
+// Guards against two runs of a task at one time, refusals after a start, and jobs that get no answer, in
+// cuts, pauses, ends and restarts of instances and workers that overlap.
 BOOST_AUTO_TEST_CASE(no_random_schedule_breaks_a_rule)
 {
     const std::uint64_t first = number_from("POPLARSHED_FIRST_SEED", default_first_seed);
--- a/tests/instance/fleet_store.h
+++ b/tests/instance/fleet_store.h
@@ -32,6 +32,8 @@
     /// claim was refused or has got no answer
     void claim(session from, const endpoint& holder, const routing::claim_pool& wanted,
                std::function<void(std::optional<std::uint64_t>)> answer);
+    /// By the record; it must be there.
+    const endpoint& holder(const routing::pool_id& pool) const { return m_items.at(pool).record.holder; }
     /// Ends leases.
     void step();
 
@@ -42,7 +44,8 @@
     };
 
     bool is_away() const { return m_time.now() < m_away_until; }
-    std::optional<std::uint64_t> write(session from, const endpoint& holder, const routing::claim_pool& wanted);
+    std::optional<std::uint64_t> write(session from, const endpoint& holder,
+                                       const routing::claim_pool& wanted);
 
     virtual_time& m_time;
     std::shared_ptr<const routing::pool_map> m_directory = std::make_shared<routing::pool_map>();
--- a/tests/instance/fleet_time.cpp
+++ b/tests/instance/fleet_time.cpp
@@ -59,8 +59,8 @@
 
 std::string virtual_time::history(const std::string& job) const
 {
-    const auto first = std::find_if(m_notes.begin(), m_notes.end(),
-                                    [&job](const entry& item) { return item.job == job; });
+    const auto first =
+        std::find_if(m_notes.begin(), m_notes.end(), [&job](const entry& item) { return item.job == job; });
     const milliseconds from = (first == m_notes.end() ? elapsed() : first->at) - context;
     std::string text;
     for (const entry& item : m_notes) {
--- a/tests/instance/fleet_workers.cpp
+++ b/tests/instance/fleet_workers.cpp
@@ -30,8 +30,8 @@
 order_answer no_answer(const worker_order& order)
 {
     if (const auto* start = std::get_if<workers::start_order>(&order)) {
-        return workers::start_reply{start->target.worker, start->task, start->run,
-                                    workers::start_outcome::unanswered, {}};
+        return workers::start_reply{
+            start->target.worker, start->task, start->run, workers::start_outcome::unanswered, {}};
     }
     if (const auto* stop = std::get_if<workers::stop_order>(&order)) {
         return workers::stop_reply{stop->target.worker, stop->task, stop->run, workers::stop_outcome::failed};
@@ -41,7 +41,8 @@
 
 const workers::worker_id& target_of(const worker_order& order)
 {
-    return std::visit([](const auto& item) -> const workers::worker_id& { return item.target.worker; }, order);
+    return std::visit([](const auto& item) -> const workers::worker_id& { return item.target.worker; },
+                      order);
 }
 
 }  // namespace
@@ -255,8 +256,8 @@
 void virtual_workers::carry_out(worker& on, const call_pointer& made, const workers::stop_order& order)
 {
     if (order.token < on.token) {
-        reply(made, workers::stop_reply{order.target.worker, order.task, order.run,
-                                        workers::stop_outcome::fenced});
+        reply(made,
+              workers::stop_reply{order.target.worker, order.task, order.run, workers::stop_outcome::fenced});
         return;
     }
     on.token = order.token;
@@ -271,8 +272,8 @@
             running.stops_at = stops_at;
         }
     }
-    reply(made, workers::stop_reply{order.target.worker, order.task, order.run,
-                                    workers::stop_outcome::stopped});
+    reply(made,
+          workers::stop_reply{order.target.worker, order.task, order.run, workers::stop_outcome::stopped});
 }
 
 void virtual_workers::carry_out(worker& on, const call_pointer& made, const workers::list_order& order)
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -62,10 +62,9 @@
 {
     m_instances.at(index) = std::make_shared<virtual_instance>(
         m_identities.at(index), ++m_lives.at(index), knows_all_workers,
-        instance_surroundings{m_time, m_links, m_workers, m_store, m_addresses,
-                              [this](std::size_t at, const routing::answer_caller& value) {
-                                  m_callers.on_answer(at, value);
-                              }});
+        instance_surroundings{
+            m_time, m_links, m_workers, m_store, m_addresses,
+            [this](std::size_t at, const routing::answer_caller& value) { m_callers.on_answer(at, value); }});
 }
 
 virtual_links::receivers virtual_fleet::link_events()
@@ -94,8 +93,9 @@
 virtual_callers::receivers virtual_fleet::caller_events()
 {
     virtual_callers::receivers events;
-    events.submit = [this](routing::caller_id caller, const routing::route& target,
-                           const routing::caller_job& job) { return submit(caller, target, job); };
+    events.submit = [this](std::optional<std::size_t> to, routing::caller_id caller,
+                           const routing::route& target,
+                           const routing::caller_job& job) { return submit(to, caller, target, job); };
     events.leave = [this](std::size_t at, routing::caller_id caller) {
         m_instances.at(at)->on_caller_left(caller);
     };
@@ -104,8 +104,8 @@
     return events;
 }
 
-std::optional<std::size_t> virtual_fleet::submit(routing::caller_id caller, const routing::route& target,
-                                                 const routing::caller_job& job)
+std::optional<std::size_t> virtual_fleet::submit(std::optional<std::size_t> to, routing::caller_id caller,
+                                                 const routing::route& target, const routing::caller_job& job)
 {
     std::vector<std::size_t> alive;
     for (std::size_t i = 0; i < size(); ++i) {
@@ -116,11 +116,18 @@
     if (alive.empty()) {
         return std::nullopt;
     }
-    const std::size_t chosen = alive.at(m_time.below(alive.size()));
+    const std::size_t chosen = to ? *to : alive.at(m_time.below(alive.size()));
     m_instances.at(chosen)->submit(caller, target, job);
     return chosen;
 }
 
+std::size_t virtual_fleet::holder(std::size_t data_centre) const
+{
+    const routing::pool_id pool(m_data_centres.at(data_centre) + "/desk/0");
+    const auto found = std::find(m_addresses.begin(), m_addresses.end(), m_store.holder(pool));
+    return static_cast<std::size_t>(std::distance(m_addresses.begin(), found));
+}
+
 void virtual_fleet::break_rule(const std::string& job, const std::string& what)
 {
     m_violations.push_back(std::to_string(m_time.elapsed().count()) + " ms " + what + ", job " + job +
@@ -166,8 +173,9 @@
 
 void virtual_fleet::slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length)
 {
-    note_fault("delay from " + name(from) + " to " + name(to) + " of " + std::to_string(extra.count()) + " ms",
-               length);
+    note_fault(
+        "delay from " + name(from) + " to " + name(to) + " of " + std::to_string(extra.count()) + " ms",
+        length);
     m_links.slow_down(from, to, extra, length);
 }
 
@@ -205,9 +213,9 @@
             instances.insert(i);
         }
     }
-    note_fault("cut of worker " + std::to_string(index) + " from " + std::to_string(instances.size()) +
-                   " instances",
-               length);
+    note_fault(
+        "cut of worker " + std::to_string(index) + " from " + std::to_string(instances.size()) + " instances",
+        length);
     const bool from_store = m_time.chance(0.4);
     m_workers.cut_off(index, std::move(instances));
     const std::uint64_t number = ++m_worker_cuts.at(index);
--- a/tests/instance/fleet_world.h
+++ b/tests/instance/fleet_world.h
@@ -30,6 +30,8 @@
     virtual_workers& workers() { return m_workers; }
     virtual_store& store() { return m_store; }
     std::size_t size() const { return m_identities.size(); }
+    /// The instance that the store names as the holder of a data centre's pool.
+    std::size_t holder(std::size_t data_centre) const;
     bool is_alive(std::size_t index) const { return m_instances.at(index) != nullptr; }
 
     void cut(std::size_t from, std::size_t to, milliseconds length);
@@ -48,8 +50,8 @@
 
 private:
     void start_instance(std::size_t index, bool knows_all_workers);
-    std::optional<std::size_t> submit(routing::caller_id caller, const routing::route& target,
-                                      const routing::caller_job& job);
+    std::optional<std::size_t> submit(std::optional<std::size_t> to, routing::caller_id caller,
+                                      const routing::route& target, const routing::caller_job& job);
     virtual_links::receivers link_events();
     virtual_workers::receivers worker_events();
     virtual_callers::receivers caller_events();
