--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -133,7 +133,8 @@
     }
     for (auto& [id, on] : m_workers) {
         for (auto& [ref, running] : on.runs) {
-            if (ref.job != item.offer.job || ref.step >= item.first_task.size()) {
+            if (ref.job != item.offer.job || ref.step >= item.first_task.size() ||
+                ref.index >= item.offer.steps.at(ref.step).tasks) {
                 continue;
             }
             const std::uint32_t number = number_of(item, ref);
