instance: answer requests that arrive while the process ends

Cause: the core thread leaves its loop when everything is answered, and the listeners go on reading for up to 200 ms, until the signal thread has ended. Change: after the last turn the listeners refuse requests themselves (503, draining, connection closed), and what they had handed over is refused too.

--- a/source/instance/caller_front.cpp
+++ b/source/instance/caller_front.cpp
@@ -43,8 +43,28 @@
     return header ? header->host() : std::string();
 }
 
+void send_answer(web::ResponseWriter& writer, const caller_answer& answer, bool close)
+{
+    writer.headers().add<web::Header::ContentType>(MIME(Application, Json));
+    if (close) {
+        writer.headers().add<web::Header::Connection>(web::ConnectionControl::Close);
+    }
+    if (answer.retry_after.count() > 0) {
+        // Whole seconds, rounded up: the header knows no fractions.
+        writer.headers().addRaw(
+            web::Header::Raw("Retry-After", std::to_string((answer.retry_after.count() + 999) / 1000)));
+    }
+    writer.send(static_cast<web::Code>(answer.status), answer.body);
+}
+
 }  // namespace
 
+/// The answer to new requests once the core thread takes no more.
+struct caller_front::refusal {
+    std::atomic<bool> active{false};
+    caller_answer answer;  ///< written before `active`
+};
+
 /// Requests that wait for an answer, by caller and by connection.
 class caller_front::writer_table {
 public:
@@ -112,8 +132,9 @@
 public:
     HTTP_PROTOTYPE(handler)
 
-    handler(const front_options& options, core_inbox& inbox, std::shared_ptr<writer_table> writers)
-        : m_options(options), m_inbox(&inbox), m_writers(std::move(writers))
+    handler(const front_options& options, core_inbox& inbox, std::shared_ptr<writer_table> writers,
+            std::shared_ptr<const refusal> refused)
+        : m_options(options), m_inbox(&inbox), m_writers(std::move(writers)), m_refusal(std::move(refused))
     {}
 
     void onRequest(const web::Request& request, web::ResponseWriter writer) override
@@ -123,6 +144,10 @@
             writer.send(web::Code::Method_Not_Allowed);
             return;
         }
+        if (m_refusal->active) {
+            send_answer(writer, m_refusal->answer, true);
+            return;
+        }
         request_arrived event;
         event.request = {*method,
                          host_of(request),
@@ -150,6 +175,7 @@
     front_options m_options;
     core_inbox* m_inbox;
     std::shared_ptr<writer_table> m_writers;
+    std::shared_ptr<const refusal> m_refusal;
 };
 
 /// Readiness and metrics; answers without the core thread.
@@ -202,7 +228,8 @@
       m_inbox(inbox),
       m_metrics(std::move(metrics)),
       m_writers(std::make_shared<writer_table>()),
-      m_ready(std::make_shared<std::atomic<bool>>(false))
+      m_ready(std::make_shared<std::atomic<bool>>(false)),
+      m_refusal(std::make_shared<refusal>())
 {}
 
 caller_front::~caller_front()
@@ -212,7 +239,7 @@
 
 std::optional<error> caller_front::listen()
 {
-    const auto callers = std::make_shared<handler>(m_options, m_inbox, m_writers);
+    const auto callers = std::make_shared<handler>(m_options, m_inbox, m_writers, m_refusal);
     const auto control = std::make_shared<control_handler>(m_options.ready_path, m_ready, m_metrics);
     std::string address = m_options.address;
     try {
@@ -237,16 +264,15 @@
     if (!writer) {
         return;
     }
-    writer->headers().add<web::Header::ContentType>(MIME(Application, Json));
-    if (close) {
-        writer->headers().add<web::Header::Connection>(web::ConnectionControl::Close);
-    }
-    if (answer.retry_after.count() > 0) {
-        // Whole seconds, rounded up: the header knows no fractions.
-        writer->headers().addRaw(
-            web::Header::Raw("Retry-After", std::to_string((answer.retry_after.count() + 999) / 1000)));
+    send_answer(*writer, answer, close);
+}
+
+void caller_front::refuse_new(const caller_answer& answer)
+{
+    if (!m_refusal->active) {
+        m_refusal->answer = answer;
+        m_refusal->active = true;
     }
-    writer->send(static_cast<web::Code>(answer.status), answer.body);
 }
 
 void caller_front::set_ready(bool ready)
--- a/source/instance/caller_front.h
+++ b/source/instance/caller_front.h
@@ -34,6 +34,8 @@
     /// Answers a request. @param close the connection is to be used no more
     void respond(routing::caller_id caller, const caller_answer& answer, bool close);
     void set_ready(bool ready);
+    /// Answers every request that arrives from now on without the core thread, and closes its connection.
+    void refuse_new(const caller_answer& answer);
     std::size_t waiting() const;
     void shutdown();
 
@@ -42,12 +44,14 @@
     class control_handler;
     class writer_table;
     class listener;
+    struct refusal;
 
     front_options m_options;
     core_inbox& m_inbox;
     metrics_source m_metrics;
     std::shared_ptr<writer_table> m_writers;
     std::shared_ptr<std::atomic<bool>> m_ready;
+    std::shared_ptr<refusal> m_refusal;
     std::vector<std::unique_ptr<listener>> m_listeners;
 };
 
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds pause_limit = routing::status_interval + routing::tolerated_silence;
 // Time between the last answer and the end of the process, for bytes that are still on their way.
 constexpr milliseconds farewell{150};
+// For requests that the listeners were handing over while the last turn ended.
+constexpr milliseconds farewell_turn{5};
 constexpr std::size_t connections_per_host = 24;
 
 std::uint64_t random_bits()
@@ -131,9 +133,30 @@
             break;
         }
     }
+    refuse_remaining();
     m_log.event({severity::info, telemetry::category::process, "stopped", {}, {}});
 }
 
+void daemon::refuse_remaining()
+{
+    const caller_answer refusal = m_protocol.encode_refusal(refusal_reason::draining, milliseconds(100));
+    m_front.refuse_new(refusal);
+    std::vector<core_event> batch;
+    m_inbox.drain_until(steady_clock::now() + farewell_turn, batch);
+    std::int64_t refused = 0;
+    for (const core_event& event : batch) {
+        if (const auto* request = std::get_if<request_arrived>(&event)) {
+            m_front.respond(request->caller, refusal, true);
+            ++refused;
+        }
+    }
+    m_log.event({severity::info,
+                 telemetry::category::http,
+                 "requests refused at the end",
+                 {},
+                 {{"requests", refused}, {"reason", std::string("draining")}}});
+}
+
 // Load pattern: a machine that stands still for seconds and goes on. Steady time may not count the pause.
 void daemon::check_for_pause(time_point now)
 {
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -90,6 +90,8 @@
     void follow_store_state(time_point now);
     bool has_pool(time_point now) const;
     bool drained(time_point now) const;
+    /// Answers the requests that arrive between the last turn of the loop and the end of the process.
+    void refuse_remaining();
     workers::instance_status own_status(time_point now) const;
 
     settings m_settings;
