--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -20,6 +20,22 @@
 constexpr milliseconds farewell_turn{5};
 constexpr std::size_t connections_per_host = 24;
 
+// Bounds the length of a log line; a job has up to 1,300 tasks.
+constexpr std::size_t max_logged_tasks = 16;
+
+/// The first task numbers of a list, and how many follow.
+std::string task_list(const std::vector<std::uint32_t>& tasks)
+{
+    std::string text;
+    for (std::size_t i = 0; i < std::min(tasks.size(), max_logged_tasks); ++i) {
+        text += (i == 0 ? "" : ",") + std::to_string(tasks[i]);
+    }
+    if (tasks.size() > max_logged_tasks) {
+        text += ",+" + std::to_string(tasks.size() - max_logged_tasks);
+    }
+    return text;
+}
+
 std::uint64_t random_bits()
 {
     std::random_device device;
@@ -338,6 +354,8 @@
                    {"input_ms", record.predicted_finish.count()},
                    {"status_age_ms", record.status_age.count()},
                    {"offer", static_cast<std::int64_t>(record.offer.value())},
+                   {"uncertain", task_list(record.uncertain_tasks)},
+                   {"uncertain_ms", record.uncertain_for.count()},
                    {"configuration", static_cast<std::int64_t>(m_configuration.version)}}};
     m_log.decision(now, std::move(line), is_routine(record));
 }
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -27,7 +27,7 @@
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
     "offered",  "offered_again", "offered_elsewhere", "waits_for_lapse",
-    "answered", "caller_left",   "result_ignored"};
+    "answered", "caller_left",   "result_ignored",    "given_back"};
 
 // Kind and reason of an answer; completed jobs have no reason.
 std::string answer_text(answer_kind kind, refusal_reason reason)
@@ -191,7 +191,8 @@
     m_actions.emplace_back(send_to_holder{chosen.holder, pending_job.offer});
     m_actions.emplace_back(routing_record{decision, pending_job.offer.job, chosen.holder, chosen.pool.value(),
                                           chosen.predicted_finish, chosen.status_age,
-                                          pending_job.offer.number});
+                                          pending_job.offer.number, pending_job.offer.uncertain_tasks,
+                                          pending_job.offer.uncertain_for});
 }
 
 bool router::holder_has_pool(time_point now, const job& pending_job) const
@@ -350,6 +351,14 @@
 void router::on_not_held(time_point now, const workers::job_result& result)
 {
     job& pending_job = m_jobs.at(result.job);
+    m_actions.emplace_back(routing_record{routing_decision::given_back,
+                                          result.job,
+                                          result.holder,
+                                          result.may_have_run ? "may have run" : "nothing was started",
+                                          elapsed(now, pending_job.arrived),
+                                          {},
+                                          result.number,
+                                          result.uncertain_tasks});
     if (!result.may_have_run && !pending_job.offer.may_have_run) {
         pending_job.returned_by.clear();
         if (!offer(now, pending_job, routing_decision::offered_elsewhere)) {
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -49,8 +49,9 @@
     answered,
     caller_left,
     result_ignored,  ///< the result belongs to an earlier offer
+    given_back,      ///< the holder does not hold the pool, or has dropped the job
 };
-inline constexpr std::size_t routing_decision_count = 7;
+inline constexpr std::size_t routing_decision_count = 8;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(routing_decision value);
@@ -63,6 +64,8 @@
     milliseconds predicted_finish{};  ///< expected finish of the job
     milliseconds status_age{};        ///< age of the holder's status
     workers::offer_number offer{};
+    std::vector<std::uint32_t> uncertain_tasks{};  ///< may run on workers, as offered or as reported
+    milliseconds uncertain_for{};                  ///< of the offer
 };
 
 /// True for decisions about every job that completes, false for those that explain a failed job.
