workers: order the owners of a job by the arrival of their requests

A caller whose connection breaks sends its job again through another instance. The holder let any offer of another owner replace the present one, so a delayed offer of the former owner took the job back: statuses and cancels of the present owner had no effect any more. The former owner learned nothing of the change, waited until its own grant had expired, and could then offer the job to another pool while it ran here under the other owner's grant.

The holder compares the arrival of the callers' requests, from the age in the offer.

An owner that offers a job again to a holder which still has it may know more than that holder, from one in between. Done tasks and uncertain tasks of such an offer are now taken over instead of ignored.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -158,6 +158,9 @@
 
     // Jobs
     job_record* find_job(const job_id& id);
+    static void set_times(time_point now, job_record& job, const job_offer& offer);
+    void on_known_offer(time_point now, job_record& job, const endpoint& owner, const job_offer& offer,
+                        time_point granted);
     void mark_done(job_record& job, std::uint32_t number);
     void adopt_runs(time_point now, job_record& job);
     void finish_if_done(time_point now, const job_id& id);
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -71,23 +71,14 @@
         return;
     }
     if (known != nullptr) {
-        // The job was offered again, or the caller resubmitted it through another instance. Its runs continue
-        // under the new offer; an older offer that arrives late is ignored.
-        if (known->owner != owner || known->offer.number < offer.number) {
-            known->owner = owner;
-            known->offer.number = offer.number;
-            known->granted_until = *granted;
-        }
+        on_known_offer(now, *known, owner, offer, *granted);
         return;
     }
     auto created = std::make_unique<job_record>();
     job_record& job = *created;
     job.owner = owner;
-    job.arrived = now - offer.age;
-    job.objective_at = job.arrived + offer.objective;
-    job.deadline_at = job.arrived + offer.deadline;
     job.granted_until = *granted;
-    job.useful_until = std::min(job.arrived + offer.objective * max_objective_multiple, job.deadline_at);
+    set_times(now, job, offer);
     for (const job_step& step : offer.steps) {
         job.first_task.push_back(static_cast<std::uint32_t>(job.tasks.size()));
         job.unfinished_in_step.push_back(step.tasks);
@@ -111,6 +102,51 @@
     schedule(now);
 }
 
+void pool::set_times(time_point now, job_record& job, const job_offer& offer)
+{
+    job.arrived = now - offer.age;
+    job.objective_at = job.arrived + offer.objective;
+    job.deadline_at = job.arrived + offer.deadline;
+    job.useful_until = std::min(job.arrived + offer.objective * max_objective_multiple, job.deadline_at);
+}
+
+// The owner has offered the job again, or the caller has sent it again through another instance. The runs
+// continue under the new offer.
+void pool::on_known_offer(time_point now, job_record& job, const endpoint& owner, const job_offer& offer,
+                          time_point granted)
+{
+    if (job.owner == owner && !(job.offer.number < offer.number)) {
+        return;
+    }
+    if (job.owner != owner) {
+        // A caller sends a job again long after an offer has expired, so a delayed offer of the former owner
+        // is of the earlier request. Offer numbers of two owners cannot be compared.
+        const bool newer = now - offer.age > job.arrived;
+        job_result superseded = make_result(job, job_end::gave_up);
+        superseded.reason = refusal_reason::cancelled;
+        superseded.number = newer ? job.offer.number : offer.number;
+        record(decision::owner_superseded, offer.job, {}, newer ? job.owner.value() : owner.value());
+        notify_owner(newer ? job.owner : owner, std::move(superseded));
+        if (!newer) {
+            return;
+        }
+        job.owner = owner;
+    }
+    set_times(now, job, offer);
+    job.offer.number = offer.number;
+    job.granted_until = granted;
+    for (const std::uint32_t number : offer.done_tasks) {
+        mark_done(job, number);
+    }
+    for (const std::uint32_t number : offer.uncertain_tasks) {
+        if (number < job.tasks.size() && job.tasks[number].state == task_state::waiting) {
+            job.uncertain.insert(number);
+        }
+    }
+    job.uncertain_until = std::max(job.uncertain_until, now + offer.uncertain_for);
+    finish_if_done(now, offer.job);
+}
+
 void pool::mark_done(job_record& job, std::uint32_t number)
 {
     if (number >= job.tasks.size() || job.tasks[number].state != task_state::waiting) {
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -10,7 +10,7 @@
     "admitted",      "refused_no_worker", "refused_too_late", "returned_to_owner", "started",
     "start_failed",  "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
     "worker_silent", "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
-    "fenced",        "offer_expired",     "grant_ended"};
+    "fenced",        "offer_expired",     "grant_ended",      "owner_superseded"};
 
 constexpr std::array<std::string_view, run_end_count> run_end_names{"done",   "failed",     "stopped",
                                                                     "lapsed", "peer_ended", "peers_missing"};
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -128,7 +128,7 @@
     /// Where not_held: tasks that may run, as far as the holder knows. Tasks that it leaves out may still run
     /// under earlier holders.
     std::vector<std::uint32_t> uncertain_tasks;
-    offer_number number{};                                   ///< number of the answered offer
+    offer_number number{};  ///< number of the answered offer
 
     bool operator==(const job_result&) const = default;
 };
@@ -340,10 +340,11 @@
     job_ended,
     orphan_stopped,
     fenced,
-    offer_expired,  ///< the offer was in transit for too long
-    grant_ended,    ///< no status from the owner in time, or the owner withdrew the offer
+    offer_expired,     ///< the offer was in transit for too long
+    grant_ended,       ///< no status from the owner in time, or the owner withdrew the offer
+    owner_superseded,  ///< the caller has sent the job again through another instance
 };
-inline constexpr std::size_t decision_count = 18;
+inline constexpr std::size_t decision_count = 19;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
--- a/tests/workers/offers_test.cpp
+++ b/tests/workers/offers_test.cpp
@@ -55,6 +55,82 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_the_owner_knows_more_than_the_holder)
+
+// Guards against a second run of a task that a holder in between has started: the owner lost this holder,
+// offered the job to another one, and offers it here again.
+BOOST_AUTO_TEST_CASE(its_uncertain_tasks_wait_and_its_done_tasks_are_not_started)
+{
+    pool_fixture f(2);
+    f.list(0);
+    job_offer first = pool_fixture::offer("j", 6);
+    first.number = offer_number(1);
+    f.offer_job(first);
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 2U);
+    job_offer again = first;
+    again.number = offer_number(3);
+    again.may_have_run = true;
+    again.done_tasks = {2};
+    again.uncertain_tasks = {3};
+    again.uncertain_for = milliseconds(1100);
+    f.offer_job(again);
+    for (const start_command& start : std::vector<start_command>(f.starts)) {
+        f.list(0, {}, {{start.run.value(), start.task, start.run, run_end::done}});
+    }
+    std::vector<std::uint32_t> started;
+    for (const start_command& start : f.starts) {
+        started.push_back(start.task.index);
+    }
+    BOOST_TEST(started == (std::vector<std::uint32_t>{0, 1, 4, 5}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_caller_sends_the_job_again_through_another_instance)
+
+job_offer through(const std::string& owner, std::uint64_t number, milliseconds age)
+{
+    job_offer value = numbered(number);
+    value.owner = endpoint(owner);
+    value.age = age;
+    return value;
+}
+
+// Guards against a former owner that waits for a job which continues under another owner, and offers it to
+// another pool after its own grant has expired.
+BOOST_AUTO_TEST_CASE(the_former_owner_learns_that_it_is_superseded)
+{
+    pool_fixture f;
+    f.list(0);
+    f.offer_job(through("former:1", 900, milliseconds(0)));
+    f.advance(milliseconds(100));
+    f.offer_job(through("later:1", 5, milliseconds(0)));
+    BOOST_TEST(f.starts.size() == 1U);
+    BOOST_REQUIRE_EQUAL(f.results.size(), 1U);
+    BOOST_TEST((f.result_receivers[0] == endpoint("former:1")));
+    BOOST_TEST((f.results[0].end == job_end::gave_up));
+    BOOST_TEST((f.results[0].number == offer_number(900)));
+    f.get().on_cancel(f.now(), {job_id("j"), endpoint("former:1"), offer_number(901)});
+    BOOST_TEST(f.get().job_count() == 1U);
+}
+
+// Guards against a delayed offer that returns the job to an owner whose caller has left, so that the cancels
+// and statuses of the present owner have no effect.
+BOOST_AUTO_TEST_CASE(a_delayed_offer_of_the_former_owner_does_not_take_the_job_back)
+{
+    pool_fixture f;
+    f.list(0);
+    f.offer_job(through("later:1", 5, milliseconds(0)));
+    f.offer_job(through("former:1", 901, milliseconds(1300)));
+    BOOST_REQUIRE_EQUAL(f.results.size(), 1U);
+    BOOST_TEST((f.result_receivers[0] == endpoint("former:1")));
+    BOOST_TEST((f.results[0].number == offer_number(901)));
+    f.get().on_cancel(f.now(), {job_id("j"), endpoint("later:1"), offer_number(5)});
+    BOOST_TEST(f.get().job_count() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_an_offer_was_delayed)
 
 // Guards against a start by a former holder: the offer arrives after the owner has assigned the job to
