routing: leave a pool to an instance that has just claimed it

Every exchange hands over all jobs of the pool, which multiplied each gap in a hand-over.

A record that has changed shows that its writer works and reaches the store. An unreachable holder is therefore replaced only when its record has been unchanged for 1 s, or has expired. The time is shorter than the lease of a record, so a holder that ends right after its claim is replaced as soon as before at the latest when its record goes.

Before: ownership_test takes the pool back within 750 ms; after: not before 1 s.

--- a/source/routing/ownership.cpp
+++ b/source/routing/ownership.cpp
@@ -15,6 +15,11 @@
 // for longer.
 constexpr milliseconds storeless_delay{800};
 
+// An instance that has written a record reaches the store, so an instance that cannot reach it may be cut off
+// itself. Without this time two such instances take a pool from each other at every check. It is shorter than
+// the lease of a record, which covers a holder that ends right after its claim.
+constexpr milliseconds claimed_record_protection{1000};
+
 // A token consists of the revision of the record and, in its lowest bits, a suffix. The suffix is 0 for
 // tokens from the store. While the store is unreachable it is derived from the address of the instance, so
 // that two instances that take a pool at the same time, without a connection to each other, have different
@@ -52,6 +57,7 @@
 
 std::vector<ownership_action> ownership::decide(time_point now, const ownership_view& view)
 {
+    track_records(now, view);
     std::vector<ownership_action> actions;
     for (const auto& [pool, token] : m_held) {
         if (must_release(now, view, pool)) {
@@ -104,6 +110,24 @@
            view.peers.is_live(now, record->second.holder);
 }
 
+void ownership::track_records(time_point now, const ownership_view& view)
+{
+    for (const auto& [pool, record] : view.records) {
+        const auto [tracked, is_new] =
+            m_tracked_records.try_emplace(pool, tracked_record{record.revision, {}});
+        if (!is_new && tracked->second.revision != record.revision) {
+            tracked->second = {record.revision, now};
+        }
+    }
+}
+
+bool ownership::was_claimed_recently(time_point now, const pool_id& pool) const
+{
+    const auto tracked = m_tracked_records.find(pool);
+    return tracked != m_tracked_records.end() && tracked->second.changed_at &&
+           now < *tracked->second.changed_at + claimed_record_protection;
+}
+
 bool ownership::may_claim(time_point now, const ownership_view& view, const pool_id& pool) const
 {
     const data_centre_id pool_data_centre = data_centre_of(pool);
@@ -140,7 +164,7 @@
     }
     // The record exists while its holder renews its lease. So a network partition between data centres, in
     // which the holder still reaches the store, does not move the pool to another data centre.
-    return own_data_centre && view.peers.reaches_at_least_half(now);
+    return own_data_centre && view.peers.reaches_at_least_half(now) && !was_claimed_recently(now, pool);
 }
 
 workers::fencing_token ownership::storeless_token(const ownership_view& view, const pool_id& pool) const
--- a/source/routing/ownership.h
+++ b/source/routing/ownership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -53,8 +54,8 @@
 
 /// Decides which pools this instance holds. A pool is held by an instance of its own data centre while one is
 /// live there. An unreachable holder is replaced by another instance of its data centre as soon as at least
-/// half of the other instances are reachable from that one; by an instance of another data centre only after
-/// the holder's record has expired in the store.
+/// half of the other instances are reachable from that one, unless it has claimed the pool just now; by an
+/// instance of another data centre only after the holder's record has expired in the store.
 class ownership {
 public:
     explicit ownership(time_point started) : m_started(started) {}
@@ -70,6 +71,9 @@
     /// True if the pool has no workers any more, or another instance holds it with precedence.
     bool must_release(time_point now, const ownership_view& view, const pool_id& pool) const;
     bool may_claim(time_point now, const ownership_view& view, const pool_id& pool) const;
+    void track_records(time_point now, const ownership_view& view);
+    /// True if another instance has written the pool's record so recently that it must be working.
+    bool was_claimed_recently(time_point now, const pool_id& pool) const;
     /// Token to hold a pool with when the store is unreachable; above all tokens seen so far.
     workers::fencing_token storeless_token(const ownership_view& view, const pool_id& pool) const;
 
@@ -77,6 +81,12 @@
     std::map<pool_id, workers::fencing_token> m_held;
     std::set<pool_id> m_claiming;
     std::map<pool_id, time_point> m_claimable_since;
+    struct tracked_record {
+        std::uint64_t revision = 0;
+        std::optional<time_point>
+            changed_at;  ///< empty if the record has not changed since it was first read
+    };
+    std::map<pool_id, tracked_record> m_tracked_records;
 };
 
 }  // namespace poplarshed::routing
--- a/tests/routing/ownership_test.cpp
+++ b/tests/routing/ownership_test.cpp
@@ -91,6 +91,52 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_two_instances_are_cut_from_each_other_but_reach_the_store)
+
+// Guards against two instances that take a pool from each other at every check, so that its jobs are handed
+// over ten times a second.
+BOOST_AUTO_TEST_CASE(the_one_that_has_lost_the_pool_does_not_take_it_back_at_once)
+{
+    fixture f;
+    const auto advance = [&f](int checks) {
+        int claimed = 0;
+        for (int i = 0; i < checks; ++i) {
+            f.now += milliseconds(50);
+            f.receive_status(status_of("third", "punkunnam"));
+            claimed += claims(f) ? 1 : 0;
+        }
+        return claimed;
+    };
+    f.records[ollur_pool] = {endpoint("other"), 7};
+    f.receive_status(status_of("third", "punkunnam"));
+    BOOST_TEST(claims(f));
+    f.owned_pools.on_claimed(ollur_pool, 8);
+    f.records[ollur_pool] = {endpoint("self"), 8};
+    advance(2);
+    f.records[ollur_pool] = {endpoint("other"), 9};
+    f.owned_pools.on_released(ollur_pool);
+    BOOST_TEST(advance(15) == 0);
+    BOOST_TEST(advance(10) == 1);
+}
+
+// Guards against a pool without a holder when the instance that has claimed it ends at once.
+BOOST_AUTO_TEST_CASE(it_is_claimed_as_soon_as_the_record_has_expired)
+{
+    fixture f;
+    f.records[ollur_pool] = {endpoint("other"), 7};
+    f.receive_status(status_of("other", "ollur", {load_of(ollur_pool)}));
+    BOOST_TEST(!claims(f));
+    f.records[ollur_pool] = {endpoint("other"), 9};
+    BOOST_TEST(!claims(f));
+    f.now += milliseconds(700);
+    f.receive_status(status_of("third", "punkunnam"));
+    BOOST_TEST(!claims(f));
+    f.records.erase(ollur_pool);
+    BOOST_TEST(claims(f));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_its_holder_is_live)
 
 // Guards against two holders that fence each other in turn.
