instance: measure grants by a clock that counts suspensions

The steady clock of a suspended machine stands still. A holder that was suspended twice for less than 600 ms within one grant kept the grant for up to 1.2 s longer than its owner counts, and an owner's deadlines were late by the time of the suspension.

The daemon's loop, timers, grants and deadlines now use CLOCK_BOOTTIME; only the wait for the next event is converted to the steady clock. The check for a pause no longer needs a second clock.

--- a/source/common/clock.cpp
+++ b/source/common/clock.cpp
@@ -4,12 +4,16 @@
 
 namespace poplarshed {
 
-milliseconds time_since_boot()
+time_point boot_time_now()
 {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return std::chrono::duration_cast<milliseconds>(seconds(now.tv_sec) +
-                                                    std::chrono::nanoseconds(now.tv_nsec));
+    return time_point(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+time_point steady_time_of(time_point at)
+{
+    return at == time_point::max() ? at : steady_clock::now() + (at - boot_time_now());
 }
 
 std::uint64_t wall_microseconds()
--- a/source/common/clock.h
+++ b/source/common/clock.h
@@ -15,8 +15,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Time since the machine was started, suspended time included.
-milliseconds time_since_boot();
+/// Time since the machine was started, suspended time included. The steady clock of a suspended machine
+/// stands still, so intervals that other machines rely on are measured with this one. Not comparable with
+/// steady_clock::now().
+time_point boot_time_now();
+/// The reading of the steady clock at which boot_time_now() returns `at`, unless the machine is suspended
+/// before; for waits.
+time_point steady_time_of(time_point at);
 
 /// Time of day, for numbers that must grow from one life of a process to the next.
 std::uint64_t wall_microseconds();
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -89,8 +89,8 @@
       m_directory(surroundings, m_settings.name, wall_microseconds()),
       m_store({m_settings.peers, m_settings.data_centre}, surroundings, m_directory),
       m_peers(m_settings.peers, m_settings.data_centre),
-      m_router(router_options_now(), m_peers, steady_clock::now()),
-      m_pools(pool_options_of(m_settings), *this, steady_clock::now()),
+      m_router(router_options_now(), m_peers, boot_time_now()),
+      m_pools(pool_options_of(m_settings), *this, boot_time_now()),
       m_front(front_options_of(m_settings), m_inbox, [this] { return m_metrics.to_prometheus(); }),
       m_http({connections_per_host}, [this](http::call_id call, http::response response) {
           m_inbox.push(call_ended{call, std::move(response)});
@@ -121,7 +121,7 @@
     if (auto failed = m_front.listen()) {
         return failed;
     }
-    const time_point now = steady_clock::now();
+    const time_point now = boot_time_now();
     m_timers.every(tick_interval, now, [this](time_point at) { tick(at); });
     m_timers.every(status_check_interval, now, [this](time_point at) { send_statuses(at); });
     m_timers.every(ownership_interval, now, [this](time_point at) { decide_ownership(at); });
@@ -137,8 +137,8 @@
 {
     std::vector<core_event> batch;
     while (true) {
-        m_inbox.drain_until(m_timers.next(), batch);
-        const time_point now = steady_clock::now();
+        m_inbox.drain_until(steady_time_of(m_timers.next()), batch);
+        const time_point now = boot_time_now();
         check_for_pause(now);
         for (core_event& event : batch) {
             std::visit([this, now](auto& item) { handle(now, item); }, event);
@@ -173,19 +173,19 @@
                  {{"requests", refused}, {"reason", std::string("draining")}}});
 }
 
-// Load pattern: a machine that stands still for seconds and goes on. Steady time may not count the pause.
+// Load pattern: a machine that stands still for seconds and goes on.
 void daemon::check_for_pause(time_point now)
 {
-    const milliseconds turn = time_since_boot();
-    const milliseconds last = std::exchange(m_last_turn, turn);
-    if (last.count() == 0 || turn - last < pause_limit) {
+    const time_point last = std::exchange(m_last_turn, now);
+    if (last == time_point{} || now - last < pause_limit) {
         return;
     }
+    const auto gap = std::chrono::duration_cast<milliseconds>(now - last);
     m_log.event({severity::warning,
                  telemetry::category::process,
                  "process was paused",
                  {},
-                 {{"gap_ms", (turn - last).count()}, {"limit_ms", pause_limit.count()}}});
+                 {{"gap_ms", gap.count()}, {"limit_ms", pause_limit.count()}}});
     m_pools.on_pause(now);
     m_router.on_pause(now);
 }
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -121,7 +121,7 @@
     time_point m_confirmed;  ///< when nothing of the followed source was missing
     time_point m_last_pull;
     time_point m_next_full_push;
-    milliseconds m_last_turn{};  ///< of the loop, since boot; 0 before the first
+    time_point m_last_turn;  ///< of the loop; the epoch before the first
     time_point m_next_proposal;
     std::vector<endpoint> m_network_targets;  ///< instances that get this one's status
     routing::status_schedule m_schedule;
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -50,7 +50,7 @@
     call.request.timeout = watch ? watch_extra_time : store_timeout;
     http::request request = std::exchange(call.request, {});
     const http::call_id id(++m_last_call);
-    call.sent = steady_clock::now();
+    call.sent = boot_time_now();
     m_metrics.add(telemetry::platform_calls, to_string(call.kind));
     m_calls.emplace(id, std::move(call));
     if (!m_http.start(id, std::move(request))) {
--- a/tests/common/clock_test.cpp
+++ b/tests/common/clock_test.cpp
@@ -18,6 +18,16 @@
     BOOST_TEST((timers.next() == time_point{} + 1010ms));
 }
 
+// Guards against waits that end at once or never, because the two clocks of a machine differ by the time that
+// it was suspended.
+BOOST_AUTO_TEST_CASE(a_boot_time_is_converted_to_the_clock_of_waits)
+{
+    const time_point wait_until = steady_time_of(boot_time_now() + 1h);
+    BOOST_TEST((wait_until > steady_clock::now() + 59min));
+    BOOST_TEST((wait_until < steady_clock::now() + 61min));
+    BOOST_TEST((steady_time_of(time_point::max()) == time_point::max()));
+}
+
 // Guards against a callback that runs after its subscriber went away.
 BOOST_AUTO_TEST_CASE(a_cancelled_subscription_is_not_called)
 {
--- a/tests/instance/fleet_time.cpp
+++ b/tests/instance/fleet_time.cpp
@@ -88,9 +88,9 @@
     return instance::test::wall_time();
 }
 
-milliseconds time_since_boot()
+time_point boot_time_now()
 {
-    return std::chrono::duration_cast<milliseconds>(microseconds(instance::test::wall_time()));
+    return time_point(microseconds(instance::test::wall_time()));
 }
 
 }  // namespace poplarshed
