--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <utility>
 
 namespace poplarshed::routing {
@@ -27,7 +28,7 @@
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
     "offered",  "offered_again", "offered_elsewhere", "waits_for_lapse",
-    "answered", "caller_left",   "result_ignored"};
+    "answered", "caller_left",   "result_ignored",    "given_back"};
 
 // Kind and reason of an answer; completed jobs have no reason.
 std::string answer_text(answer_kind kind, refusal_reason reason)
@@ -48,6 +49,15 @@
     return std::max(status.next_status_within, min_status_interval) * max_fresh_intervals;
 }
 
+std::uint32_t task_count(const std::vector<workers::job_step>& steps)
+{
+    std::uint32_t total = 0;
+    for (const workers::job_step& step : steps) {
+        total += step.tasks;
+    }
+    return total;
+}
+
 workers::job_demand demand_of(const std::vector<workers::job_step>& steps)
 {
     workers::job_demand need;
@@ -191,7 +201,8 @@
     m_actions.emplace_back(send_to_holder{chosen.holder, pending_job.offer});
     m_actions.emplace_back(routing_record{decision, pending_job.offer.job, chosen.holder, chosen.pool.value(),
                                           chosen.predicted_finish, chosen.status_age,
-                                          pending_job.offer.number});
+                                          pending_job.offer.number, pending_job.offer.uncertain_tasks,
+                                          pending_job.offer.uncertain_for});
 }
 
 bool router::holder_has_pool(time_point now, const job& pending_job) const
@@ -350,6 +361,14 @@
 void router::on_not_held(time_point now, const workers::job_result& result)
 {
     job& pending_job = m_jobs.at(result.job);
+    m_actions.emplace_back(routing_record{routing_decision::given_back,
+                                          result.job,
+                                          result.holder,
+                                          result.may_have_run ? "may have run" : "nothing was started",
+                                          elapsed(now, pending_job.arrived),
+                                          {},
+                                          result.number,
+                                          result.uncertain_tasks});
     if (!result.may_have_run && !pending_job.offer.may_have_run) {
         pending_job.returned_by.clear();
         if (!offer(now, pending_job, routing_decision::offered_elsewhere)) {
@@ -359,29 +378,40 @@
     }
     pending_job.lost = true;
     pending_job.lost_at = now;
-    pending_job.uncertain_tasks_reported = true;
-    pending_job.offer.uncertain_tasks = result.uncertain_tasks;
+    pending_job.runs_reported = true;
+    if (result.may_have_run) {
+        add_possible_runs(pending_job, result.uncertain_tasks);
+    }
     check_holder(now, result.job);
 }
 
+void router::add_possible_runs(job& pending_job, const std::vector<std::uint32_t>& tasks) const
+{
+    const time_point ended_by = pending_job.granted_at + m_options.lost_holder_timeout;
+    for (const std::uint32_t number : tasks) {
+        time_point& known = pending_job.possible_runs[number];
+        known = std::max(known, ended_by);
+    }
+}
+
 void router::prepare_reoffer(time_point now, job& pending_job) const
 {
     pending_job.offer.may_have_run = true;
-    pending_job.offer.uncertain_for =
-        std::max(milliseconds(0), m_options.lost_holder_timeout - elapsed(now, pending_job.granted_at));
-    if (std::exchange(pending_job.uncertain_tasks_reported, false)) {
-        return;
+    if (!std::exchange(pending_job.runs_reported, false)) {
+        std::vector<std::uint32_t> all_tasks(task_count(pending_job.offer.steps));
+        std::iota(all_tasks.begin(), all_tasks.end(), 0U);
+        add_possible_runs(pending_job, all_tasks);
     }
-    pending_job.offer.uncertain_tasks.clear();
     const auto& done = pending_job.offer.done_tasks;
-    std::uint32_t total = 0;
-    for (const workers::job_step& step : pending_job.offer.steps) {
-        total += step.tasks;
-    }
-    for (std::uint32_t number = 0; number < total; ++number) {
-        if (std::find(done.begin(), done.end(), number) == done.end()) {
-            pending_job.offer.uncertain_tasks.push_back(number);
-        }
+    std::erase_if(pending_job.possible_runs, [now, &done](const auto& run) {
+        return run.second <= now || std::find(done.begin(), done.end(), run.first) != done.end();
+    });
+    pending_job.offer.uncertain_tasks.clear();
+    pending_job.offer.uncertain_for = milliseconds(0);
+    for (const auto& [number, ended_by] : pending_job.possible_runs) {
+        pending_job.offer.uncertain_tasks.push_back(number);
+        pending_job.offer.uncertain_for =
+            std::max(pending_job.offer.uncertain_for, std::chrono::ceil<milliseconds>(ended_by - now));
     }
 }
 
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -158,6 +158,9 @@
 
     // Jobs
     job_record* find_job(const job_id& id);
+    static void set_times(time_point now, job_record& job, const job_offer& offer);
+    void on_known_offer(time_point now, job_record& job, const endpoint& owner, const job_offer& offer,
+                        time_point granted);
     void mark_done(job_record& job, std::uint32_t number);
     void adopt_runs(time_point now, job_record& job);
     void finish_if_done(time_point now, const job_id& id);
@@ -168,7 +171,8 @@
     void drop_job(time_point now, const job_id& id, std::string_view cause);
     /// Drops jobs whose grant has expired.
     void expire_grants(time_point now);
-    /// Result that reports to the owner that the job was dropped, and which tasks may run.
+    /// Reports to the owner which tasks are done, that the job was dropped, and which tasks may run.
+    void give_back(const job_record& job);
     job_result not_held_answer(const job_record& job) const;
     void stop_tasks(time_point now, const job_record& job);
     void refuse_infeasible(time_point now);
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -65,29 +65,20 @@
                                        job_end::not_held,
                                        {},
                                        {},
-                                       offer.may_have_run,
+                                       false,
                                        offer.uncertain_tasks,
                                        offer.number});
         return;
     }
     if (known != nullptr) {
-        // The job was offered again, or the caller resubmitted it through another instance. Its runs continue
-        // under the new offer; an older offer that arrives late is ignored.
-        if (known->owner != owner || known->offer.number < offer.number) {
-            known->owner = owner;
-            known->offer.number = offer.number;
-            known->granted_until = *granted;
-        }
+        on_known_offer(now, *known, owner, offer, *granted);
         return;
     }
     auto created = std::make_unique<job_record>();
     job_record& job = *created;
     job.owner = owner;
-    job.arrived = now - offer.age;
-    job.objective_at = job.arrived + offer.objective;
-    job.deadline_at = job.arrived + offer.deadline;
     job.granted_until = *granted;
-    job.useful_until = std::min(job.arrived + offer.objective * max_objective_multiple, job.deadline_at);
+    set_times(now, job, offer);
     for (const job_step& step : offer.steps) {
         job.first_task.push_back(static_cast<std::uint32_t>(job.tasks.size()));
         job.unfinished_in_step.push_back(step.tasks);
@@ -111,6 +102,51 @@
     schedule(now);
 }
 
+void pool::set_times(time_point now, job_record& job, const job_offer& offer)
+{
+    job.arrived = now - offer.age;
+    job.objective_at = job.arrived + offer.objective;
+    job.deadline_at = job.arrived + offer.deadline;
+    job.useful_until = std::min(job.arrived + offer.objective * max_objective_multiple, job.deadline_at);
+}
+
+// The owner has offered the job again, or the caller has sent it again through another instance. The runs
+// continue under the new offer.
+void pool::on_known_offer(time_point now, job_record& job, const endpoint& owner, const job_offer& offer,
+                          time_point granted)
+{
+    if (job.owner == owner && !(job.offer.number < offer.number)) {
+        return;
+    }
+    if (job.owner != owner) {
+        // A caller sends a job again long after an offer has expired, so a delayed offer of the former owner
+        // is of the earlier request. Offer numbers of two owners cannot be compared.
+        const bool newer = now - offer.age > job.arrived;
+        job_result superseded = make_result(job, job_end::gave_up);
+        superseded.reason = refusal_reason::cancelled;
+        superseded.number = newer ? job.offer.number : offer.number;
+        record(decision::owner_superseded, offer.job, {}, newer ? job.owner.value() : owner.value());
+        notify_owner(newer ? job.owner : owner, std::move(superseded));
+        if (!newer) {
+            return;
+        }
+        job.owner = owner;
+    }
+    set_times(now, job, offer);
+    job.offer.number = offer.number;
+    job.granted_until = granted;
+    for (const std::uint32_t number : offer.done_tasks) {
+        mark_done(job, number);
+    }
+    for (const std::uint32_t number : offer.uncertain_tasks) {
+        if (number < job.tasks.size() && job.tasks[number].state == task_state::waiting) {
+            job.uncertain.insert(number);
+        }
+    }
+    job.uncertain_until = std::max(job.uncertain_until, now + offer.uncertain_for);
+    finish_if_done(now, offer.job);
+}
+
 void pool::mark_done(job_record& job, std::uint32_t number)
 {
     if (number >= job.tasks.size() || job.tasks[number].state != task_state::waiting) {
@@ -129,6 +165,7 @@
     for (std::uint32_t number = 0; number < job.tasks.size(); ++number) {
         if (m_orphan_ends.erase(ref_of(job, number)) > 0) {
             mark_done(job, number);
+            m_finished_tasks[job.offer.job].push_back(number);
             job.started = true;
         }
     }
@@ -324,10 +361,19 @@
     return result;
 }
 
+void pool::give_back(const job_record& job)
+{
+    // Before the result, because the owner offers the job again as soon as it has that.
+    if (auto finished = m_finished_tasks.extract(job.offer.job)) {
+        notify_owner(job.owner, job_progress{job.offer.job, std::move(finished.mapped())});
+    }
+    notify_owner(job.owner, not_held_answer(job));
+}
+
 void pool::hand_over()
 {
     for (const auto& [id, job] : m_jobs) {
-        notify_owner(job->owner, not_held_answer(*job));
+        give_back(*job);
     }
     m_jobs.clear();
 }
@@ -365,7 +411,7 @@
     for (const job_id& id : ended) {
         const job_record& job = *find_job(id);
         record(decision::grant_ended, id, {}, "no status from the owner", elapsed(now, job.granted_until));
-        notify_owner(job.owner, not_held_answer(job));
+        give_back(job);
         drop_job(now, id, "grant expired");
     }
 }
@@ -409,7 +455,7 @@
     for (const job_id& id : lost) {
         // In a one-way partition the owner may still receive messages from this instance; without this result
         // it would wait for the job until the deadline.
-        notify_owner(owner, not_held_answer(*find_job(id)));
+        give_back(*find_job(id));
         drop_job(now, id, "owner lost");
     }
 }
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -123,9 +123,12 @@
     job_end end = job_end::completed;
     refusal_reason reason = refusal_reason::internal_error;  ///< where refused or gave_up
     milliseconds retry_after{};                              ///< where refused; 0 for none
-    bool may_have_run = true;                                ///< where not_held: a start was sent
-    std::vector<std::uint32_t> uncertain_tasks;              ///< where not_held: tasks that may run
-    offer_number number{};                                   ///< number of the answered offer
+    /// Where not_held: false if the holder has started nothing under the answered offer.
+    bool may_have_run = true;
+    /// Where not_held: tasks that may run, as far as the holder knows. Tasks that it leaves out may still run
+    /// under earlier holders.
+    std::vector<std::uint32_t> uncertain_tasks;
+    offer_number number{};  ///< number of the answered offer
 
     bool operator==(const job_result&) const = default;
 };
@@ -337,10 +340,11 @@
     job_ended,
     orphan_stopped,
     fenced,
-    offer_expired,  ///< the offer was in transit for too long
-    grant_ended,    ///< no status from the owner in time, or the owner withdrew the offer
+    offer_expired,     ///< the offer was in transit for too long
+    grant_ended,       ///< no status from the owner in time, or the owner withdrew the offer
+    owner_superseded,  ///< the caller has sent the job again through another instance
 };
-inline constexpr std::size_t decision_count = 18;
+inline constexpr std::size_t decision_count = 19;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
