workers: let unconfirmed starts hold the maximum lease

Callers saw two runs of one task at one time when a worker restarted under its id and became unreachable right after a start.

Cause: a start expires on the clock of the incarnation that was read last. A worker that restarted since has reset its clock, accepts the start and grants the maximum lease of 1,000 ms, but the pool counted 700 ms. Ruled out: a stale list (the last one was answered before the crash) and a late start (the command arrives after 1 ms).

Change: runs that the worker has not confirmed count as ended only after the maximum lease. A confirmation counts for the short lease if its clock is not behind the one that the start was computed for; otherwise the worker has restarted. This replaces the long lease after an idle second, which covered only restarts of more than a second after the clock was read.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -108,6 +108,7 @@
         milliseconds expected{};
         milliseconds estimate{};
         time_point sent;
+        std::int64_t lease_until_ms = 0;  ///< of the start command, on the worker's clock
         time_point stop_sent;
         std::optional<time_point> stop_acknowledged;
         /// Number of the first list that must contain the run; empty until the worker has confirmed it.
@@ -135,7 +136,10 @@
         time_point last_answer_at;      ///< last answer to a command other than a list
         bool list_pending = false;
         bool ends_pending = false;    ///< there are ends to acknowledge
-        time_point leases_expire_at;  ///< all runs have ended by then unless the lease is renewed
+        time_point leases_expire_at;  ///< confirmed runs have ended by then unless the lease is renewed
+        /// The same for runs that the worker has not confirmed: it may have restarted with a reset clock
+        /// before it received the command, and then has granted the maximum lease.
+        time_point long_leases_expire_at;
         time_point list_sent;
         time_point next_list;
         time_point no_start_until;
@@ -208,11 +212,12 @@
     /// Time by which all runs on a worker must have ended unless an owner renews its grant.
     time_point lease_limit(const worker_record& worker) const;
     void expire_all_runs(time_point now, worker_record& worker, std::string_view cause);
+    /// Ends the runs whose lease has expired.
+    void expire_runs(time_point now, worker_record& worker);
     void update_clock_offset(time_point now, worker_record& worker, std::int64_t clock_ms);
     void on_worker_restart(time_point now, worker_record& worker);
-    /// Time after which a run has ended whose lease is renewed by a command sent now, unless it is renewed
-    /// again.
-    milliseconds lease_expiry_delay(time_point now, const worker_record& worker) const;
+    /// Notes that a command sent now may renew the lease of the worker.
+    void extend_leases(time_point now, worker_record& worker) const;
     /// Lower bound of the worker's clock at a time, in milliseconds; the clock may be slow.
     std::int64_t worker_time(time_point at, const worker_record& worker) const;
     void remove_departed_workers();
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -38,6 +38,9 @@
 constexpr milliseconds max_command_delay{15'000};
 // A clock that is behind by more than drift and the delay of an answer explain was reset by a restart.
 constexpr milliseconds clock_tolerance{1000};
+// Commands carry a lower bound of the worker's clock at their sending. A clock that is behind it by more than
+// this, which allows for rounding and drift, was reset by a restart.
+constexpr milliseconds max_clock_lag{40};
 // Run numbers derive from the holder's clock, so those of a former holder may be higher. Added to the run
 // number when a worker rejects a start as superseded.
 constexpr std::uint64_t run_number_step = 10'000'000;
@@ -78,7 +81,8 @@
                 send_list(now, worker);
             }
         } else if (added) {
-            worker.leases_expire_at = now + m_options.max_lease + m_options.lease_margin;
+            worker.long_leases_expire_at = now + m_options.max_lease + m_options.lease_margin;
+            worker.leases_expire_at = worker.long_leases_expire_at;
             send_list(now, worker);
         }
     }
@@ -113,14 +117,16 @@
 {
     worker.restart_detected_at = now;
     worker.long_leases_until = now + max_command_delay;
-    worker.leases_expire_at = std::max(worker.leases_expire_at, now + lease_expiry_delay(now, worker));
+    extend_leases(now, worker);
 }
 
-milliseconds pool::lease_expiry_delay(time_point now, const worker_record& worker) const
+void pool::extend_leases(time_point now, worker_record& worker) const
 {
-    // An idle worker may have restarted unnoticed and reset its clock.
-    const bool long_lease = now < worker.long_leases_until || now > worker.clock_updated_at + clock_tolerance;
-    return (long_lease ? m_options.max_lease : m_options.lease) + m_options.lease_margin;
+    const time_point long_end = now + m_options.max_lease + m_options.lease_margin;
+    const time_point end =
+        now < worker.long_leases_until ? long_end : now + m_options.lease + m_options.lease_margin;
+    worker.leases_expire_at = std::max(worker.leases_expire_at, end);
+    worker.long_leases_expire_at = std::max(worker.long_leases_expire_at, long_end);
 }
 
 void pool::send_list(time_point now, worker_record& worker)
@@ -132,7 +138,7 @@
         until > now) {
         command.lease_until_ms = worker_time(until, worker);
         command.wait = m_options.list_wait;
-        worker.leases_expire_at = std::max(worker.leases_expire_at, now + lease_expiry_delay(now, worker));
+        extend_leases(now, worker);
     }
     ++worker.lists_sent;
     worker.list_pending = true;
@@ -171,6 +177,9 @@
     }
     run_record& run = found->second;
     if (reply.clock_ms && worker.clock_offset_ms && run.sent > worker.restart_detected_at) {
+        if (run.lease_until_ms - *reply.clock_ms > (m_options.lease + max_clock_lag).count()) {
+            on_worker_restart(now, worker);
+        }
         update_clock_offset(now, worker, *reply.clock_ms);
     }
     if (reply.outcome == start_outcome::started) {
@@ -358,6 +367,25 @@
     }
 }
 
+void pool::expire_runs(time_point now, worker_record& worker)
+{
+    std::vector<task_ref> expired;
+    for (const auto& [ref, run] : worker.runs) {
+        if (now >= (run.first_list_with_run ? worker.leases_expire_at : worker.long_leases_expire_at)) {
+            expired.push_back(ref);
+        }
+    }
+    if (expired.empty()) {
+        return;
+    }
+    worker.listed = false;
+    record(decision::worker_lapsed, {}, worker.entry.id, "lease lapsed",
+           milliseconds(static_cast<std::int64_t>(expired.size())));
+    for (const task_ref& ref : expired) {
+        end_run(now, worker, ref, run_end::lapsed);
+    }
+}
+
 void pool::requeue(job_record& job, std::uint32_t number)
 {
     job.tasks[number].state = task_state::waiting;
@@ -505,10 +533,8 @@
         check_runs(now, worker);
         std::erase_if(worker.abandoned,
                       [now](const auto& entry) { return now > entry.second.at + max_command_delay; });
-        if ((worker.unreachable || !worker.listed) && !worker.runs.empty() &&
-            now >= worker.leases_expire_at) {
-            expire_all_runs(now, worker, "lease lapsed");
-            worker.listed = false;
+        if (worker.unreachable || !worker.listed) {
+            expire_runs(now, worker);
         }
         const bool clock_known = worker.clock_offset_ms && now < worker.clock_updated_at + max_clock_age;
         const bool idle = worker.listed && worker.runs.empty() && !worker.unreachable &&
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -228,18 +228,18 @@
     created.estimate = step.estimate;
     created.expected = expected_duration(now, worker, step);
     created.sent = now;
-    worker.runs.insert_or_assign(ref, created);
+    run_record& run = worker.runs.insert_or_assign(ref, created).first->second;
+    run.lease_until_ms = worker_time(std::min(now + m_options.lease, lease_limit(worker)), worker);
     worker.used = worker.used.plus(step.need);
-    worker.leases_expire_at = std::max(worker.leases_expire_at, now + lease_expiry_delay(now, worker));
+    extend_leases(now, worker);
     record(decision::started, job.offer.job, worker.entry.id, std::to_string(number), created.expected,
            std::chrono::duration_cast<milliseconds>(job.objective_at - now));
-    m_actions.emplace_back(
-        start_command{{worker.entry.id, worker.entry.address},
-                      ref,
-                      assigned,
-                      job.offer.payload,
-                      worker_time(std::min(now + m_options.lease, lease_limit(worker)), worker),
-                      m_options.token});
+    m_actions.emplace_back(start_command{{worker.entry.id, worker.entry.address},
+                                         ref,
+                                         assigned,
+                                         job.offer.payload,
+                                         run.lease_until_ms,
+                                         m_options.token});
     if (!worker.list_pending) {
         send_list(now, worker);
     }
--- a/tests/workers/lease_test.cpp
+++ b/tests/workers/lease_test.cpp
@@ -22,6 +22,16 @@
     f.collect_actions();
 }
 
+/// The worker of the last start confirms it with this clock, and becomes unreachable.
+void confirm_and_make_unreachable(pool_fixture& f, std::int64_t clock_ms)
+{
+    const start_command start = f.starts.back();
+    f.get().on_start_reply(f.now(),
+                           {start.target.worker, start.task, start.run, start_outcome::started, clock_ms});
+    f.get().on_list_failure(f.now(), start.target.worker, list_failure::unanswered);
+    f.collect_actions();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(leases)
@@ -75,6 +85,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_worker_restarts_unnoticed)
+
+// A worker that restarted after its clock was read accepts the start on its reset clock. Guards against a
+// start elsewhere while the run continues under the maximum lease (seed 1163 of the hostile schedules).
+BOOST_AUTO_TEST_CASE(an_unconfirmed_run_may_hold_the_maximum_lease)
+{
+    pool_fixture f(2);
+    f.advance(milliseconds(2000));
+    f.list(0);
+    f.list(1);
+    f.offer_job(pool_fixture::offer("j", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    make_unreachable(f);
+    f.advance(milliseconds(1010));
+    BOOST_TEST(f.starts.size() == 1U);
+    f.advance(milliseconds(150));
+    BOOST_TEST(f.starts.size() == 2U);
+}
+
+// Guards against the same fault when the start is confirmed, by a clock that lags behind the one it was
+// computed for.
+BOOST_AUTO_TEST_CASE(a_run_confirmed_by_a_reset_clock_may_hold_the_maximum_lease)
+{
+    pool_fixture f(2);
+    f.advance(milliseconds(2000));
+    f.list(0);
+    f.list(1);
+    f.offer_job(pool_fixture::offer("j", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    confirm_and_make_unreachable(f, 4500);
+    f.advance(milliseconds(1010));
+    BOOST_TEST(f.starts.size() == 1U);
+    f.advance(milliseconds(150));
+    BOOST_TEST(f.starts.size() == 2U);
+}
+
+// Guards against tasks that wait for the maximum lease of an unreachable worker although their runs hold a
+// shorter one.
+BOOST_AUTO_TEST_CASE(a_run_confirmed_by_the_expected_clock_holds_the_short_lease)
+{
+    pool_fixture f(2);
+    f.advance(milliseconds(2000));
+    f.list(0);
+    f.list(1);
+    f.offer_job(pool_fixture::offer("j", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    confirm_and_make_unreachable(f, 5001);
+    f.advance(milliseconds(700));
+    BOOST_TEST(f.starts.size() == 1U);
+    f.advance(milliseconds(150));
+    BOOST_TEST(f.starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_a_worker_has_restarted)
 
 // Guards against commands that expire far ahead on a reset clock: a late one would start a second run.
