workers: record runs that appear on a worker after its first list

A run can appear on a worker that has been listed: a start that was given up and is executed late, or a start of a former holder on a worker that has restarted and forgotten the fencing token. The pool sent a stop and did not record the run. So the worker's lease was still renewed for its other runs, and with it the unknown one, and the task, if it was waiting for room, could be started at once beside it.

Change: such a run is recorded like one of a first list. It is adopted if its job is here and its task waits, otherwise stopped at once; the lease is not renewed until the run has gone. An abandoned start that has run after all is not told to stop before that decision. A run that was not known before may hold the maximum lease from its listing on.

Before: takeover/when_an_unknown_run_appears_on_a_listed_worker fails with "check world.starts.size() == 2U has failed [3 != 2]" and "check !world.lists.back().lease_until_ms.has_value() has failed". After: both pass, as do test_workers (71 cases), test_instance and test_fleet_cuts.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -116,7 +116,7 @@
         /// Set for runs without a job: the lease of the worker is not renewed beyond it.
         std::optional<time_point> limit;
         bool stopping = false;
-        bool orphan = false;  ///< of a former holder, and not claimed by an owner yet
+        bool orphan = false;  ///< unknown to this pool when it was listed, and not claimed by an owner yet
         bool overdue = false;
     };
 
@@ -200,6 +200,13 @@
     // Runs
     /// The worker has confirmed the run, so lists sent from now on contain it until it ends.
     static void confirm_run(const worker_record& worker, run_record& run);
+    /// Records a listed run that this pool does not know: of a former holder, or a late start that was
+    /// abandoned.
+    void add_unknown_run(time_point now, worker_record& worker, const listed_run& listed);
+    /// Stops those of the unknown runs that were not adopted.
+    /// @param keep_unclaimed keep runs of unknown jobs, which their owners may still offer
+    void stop_unknown_runs(time_point now, worker_record& worker, const std::vector<task_ref>& unknown,
+                           bool keep_unclaimed);
     void end_run(time_point now, worker_record& worker, const task_ref& ref, run_end end);
     void requeue(job_record& job, std::uint32_t number);
     void record_failure(time_point now, worker_record& worker, const job_id& failed);
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -264,30 +264,19 @@
     }
     std::set<task_ref> present;
     std::set<job_id> adopting;
+    std::vector<task_ref> unknown;
     for (const listed_run& listed : answer.running) {
         present.insert(listed.task);
         const auto found = worker.runs.find(listed.task);
         if (found != worker.runs.end() && !(listed.run < found->second.number)) {
             confirm_run(worker, found->second);
-        } else if (found == worker.runs.end() && !worker.listed) {
-            run_record orphan;
-            orphan.task = listed.task;
-            orphan.number = listed.run;
-            orphan.need = {typical_cpu(), 0, 0};
-            orphan.sent = now;
-            confirm_run(worker, orphan);
-            orphan.orphan = true;
-            orphan.limit = now;
-            worker.used = worker.used.plus(orphan.need);
-            worker.runs.emplace(listed.task, orphan);
-            adopting.insert(listed.task.job);
         } else if (found == worker.runs.end()) {
-            // An abandoned start that was executed late.
-            m_actions.emplace_back(stop_command{
-                {worker.entry.id, worker.entry.address}, listed.task, listed.run, m_options.token});
+            add_unknown_run(now, worker, listed);
+            unknown.push_back(listed.task);
+            adopting.insert(listed.task.job);
         }
     }
-    worker.listed = true;
+    const bool first_list = !std::exchange(worker.listed, true);
     if (list_state_lost) {
         reject_abandoned_starts(worker);
     }
@@ -311,6 +300,7 @@
             finish_if_done(now, id);
         }
     }
+    stop_unknown_runs(now, worker, unknown, first_list);
     std::vector<task_ref> missing;
     for (const auto& [ref, run] : worker.runs) {
         if (run.first_list_with_run && !present.contains(ref) &&
@@ -400,6 +390,36 @@
     }
 }
 
+void pool::add_unknown_run(time_point now, worker_record& worker, const listed_run& listed)
+{
+    run_record orphan;
+    orphan.task = listed.task;
+    orphan.number = listed.run;
+    orphan.need = {typical_cpu(), 0, 0};
+    orphan.sent = now;
+    confirm_run(worker, orphan);
+    orphan.orphan = true;
+    orphan.limit = now;
+    worker.used = worker.used.plus(orphan.need);
+    worker.runs.emplace(listed.task, orphan);
+    // Its lease was granted by a command that this pool did not send, or sent long ago.
+    worker.leases_expire_at =
+        std::max(worker.leases_expire_at, now + m_options.max_lease + m_options.lease_margin);
+}
+
+void pool::stop_unknown_runs(time_point now, worker_record& worker, const std::vector<task_ref>& unknown,
+                             bool keep_unclaimed)
+{
+    for (const task_ref& ref : unknown) {
+        const auto found = worker.runs.find(ref);
+        if (found != worker.runs.end() && found->second.orphan &&
+            (!keep_unclaimed || find_job(ref.job) != nullptr)) {
+            record(decision::orphan_stopped, ref.job, worker.entry.id, {});
+            send_stop(now, worker, found->second);
+        }
+    }
+}
+
 void pool::end_run(time_point now, worker_record& worker, const task_ref& ref, run_end end)
 {
     const auto found = worker.runs.find(ref);
@@ -492,6 +512,10 @@
 void pool::reject_abandoned_starts(const worker_record& worker)
 {
     for (const auto& [ref, start] : worker.abandoned) {
+        const auto found = worker.runs.find(ref);
+        if (found != worker.runs.end() && found->second.number == start.number) {
+            continue;  // It has started after all, and is adopted or stopped as an unknown run.
+        }
         m_actions.emplace_back(
             stop_command{{worker.entry.id, worker.entry.address}, ref, start.number, m_options.token});
     }
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -175,6 +175,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_an_unknown_run_appears_on_a_listed_worker)
+
+// A late start, or one of a former holder on a restarted worker. Guards against a second run of its task,
+// which waits for room.
+BOOST_AUTO_TEST_CASE(it_is_adopted_if_its_task_waits)
+{
+    pool_fixture world(1);
+    world.list(0);
+    world.offer_job(pool_fixture::offer("j", 3, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(world.starts.size(), 2U);
+    const listed_run first{world.starts[0].task, world.starts[0].run, 0};
+    const listed_run second{world.starts[1].task, world.starts[1].run, 0};
+    const listed_run late{{job_id("j"), 0, 2}, run_number(1), 0};
+    world.list(0, {first, second, late});
+    world.list(0, {late},
+               {{1, first.task, first.run, run_end::done}, {2, second.task, second.run, run_end::done}});
+    BOOST_TEST(world.starts.size() == 2U);
+    BOOST_TEST(world.stops.empty());
+    world.list(0, {}, {{3, late.task, late.run, run_end::done}});
+    BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+    BOOST_TEST((world.results[0].end == job_end::completed));
+}
+
+// Guards against a run of an ended job that continues because the lease of its worker is renewed for other
+// runs.
+BOOST_AUTO_TEST_CASE(it_is_stopped_and_its_lease_is_not_renewed_if_no_job_claims_it)
+{
+    pool_fixture world(1);
+    world.list(0);
+    world.offer_job(pool_fixture::offer("j", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(world.starts.size(), 1U);
+    const listed_run own{world.starts[0].task, world.starts[0].run, 0};
+    world.list(0, {own, {{job_id("gone"), 0, 0}, run_number(1), 0}});
+    BOOST_REQUIRE_EQUAL(world.stops.size(), 1U);
+    BOOST_TEST((world.stops[0].task.job == job_id("gone")));
+    BOOST_TEST(!world.lists.back().lease_until_ms.has_value());
+    world.list(0, {own});
+    BOOST_TEST(world.lists.back().lease_until_ms.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_a_dropped_job_is_offered_again)
 
 // Guards against a second run of a task whose first run is still being stopped: the pool considered the owner
