--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -14,6 +14,11 @@
 constexpr int most_attempts = 4;
 // A deadline is seen at a tick; the rest is time for the turn.
 constexpr milliseconds answer_slack{100};
+// Until an instance hears that a caller has left.
+constexpr milliseconds longest_notice{30};
+constexpr milliseconds greatest_resend_spread{400};
+// An instance that wakes reads the request first, and some turns later that its connection is closed.
+constexpr milliseconds greatest_read_lag{8};
 
 routing::route desk_route()
 {
@@ -29,10 +34,20 @@
 }  // namespace
 
 void virtual_callers::send_job()
+{
+    submit(add_drawn());
+}
+
+void virtual_callers::send_job_to(std::size_t instance)
+{
+    submit(add_drawn(), instance);
+}
+
+std::string virtual_callers::add_drawn()
 {
     const milliseconds work = m_time.between(milliseconds(60), milliseconds(900));
     const milliseconds limit = work * 2 + m_time.between(milliseconds(1000), milliseconds(6000));
-    submit(add(1 + static_cast<std::uint32_t>(m_time.below(8)), work, limit));
+    return add(1 + static_cast<std::uint32_t>(m_time.below(8)), work, limit);
 }
 
 void virtual_callers::send_job(std::size_t instance, std::uint32_t tasks, milliseconds work,
@@ -71,6 +86,10 @@
                         std::to_string(item.content.steps[0].tasks) + " tasks of " + item.content.payload +
                         " ms to instance " + std::to_string(*instance) + ", limit " +
                         std::to_string(item.content.time_limit.count()));
+    if (m_own_time_limits) {
+        m_time.after(item.content.time_limit + answer_slack + milliseconds(1),
+                     [this, id, caller] { leave_at_time_limit(id, caller); });
+    }
 }
 
 void virtual_callers::submit_later(const std::string& id, milliseconds delay)
@@ -78,20 +97,66 @@
     m_time.after(delay, [this, id] { submit(id); });
 }
 
-void virtual_callers::give_up_one()
+std::vector<std::string> virtual_callers::waiting() const
 {
-    std::vector<std::string> waiting;
+    std::vector<std::string> found;
     for (const auto& [id, item] : m_jobs) {
         if (item.open) {
-            waiting.push_back(id);
+            found.push_back(id);
         }
     }
-    if (waiting.empty()) {
+    return found;
+}
+
+void virtual_callers::break_one()
+{
+    const std::vector<std::string> found = waiting();
+    if (!found.empty()) {
+        leave_and_send_again(found.at(m_time.below(found.size())));
+    }
+}
+
+void virtual_callers::leave_and_send_again(const std::string& id)
+{
+    job& item = m_jobs.at(id);
+    const attempt left = *std::exchange(item.open, std::nullopt);
+    m_time.note(id, "caller " + std::to_string(left.caller.value()) + " loses its connection to instance " +
+                        std::to_string(left.instance));
+    m_left.emplace(left.caller, left);
+    item.only_refused = false;
+    const milliseconds read_lag = m_time.between(milliseconds(1), greatest_read_lag);
+    m_time.after(m_time.between(milliseconds(1), longest_notice),
+                 [this, left, read_lag] { m_events.leave(left.instance, left.caller, read_lag); });
+    if (item.attempts < most_attempts) {
+        ++m_resent;
+        submit_later(id, resend_delay + m_time.between({}, greatest_resend_spread));
+    } else {
+        item.ended = true;
+    }
+}
+
+void virtual_callers::leave_at_time_limit(const std::string& id, routing::caller_id caller)
+{
+    const job& item = m_jobs.at(id);
+    if (!item.open || item.open->caller != caller) {
         return;
     }
-    job& item = m_jobs.at(waiting.at(m_time.below(waiting.size())));
+    if (m_events.paused_time(item.open->instance) == item.open->paused) {
+        m_events.broken_rule(id, "no answer at the time limit");
+        return;
+    }
+    leave_and_send_again(id);
+}
+
+void virtual_callers::give_up_one()
+{
+    const std::vector<std::string> found = waiting();
+    if (found.empty()) {
+        return;
+    }
+    job& item = m_jobs.at(found.at(m_time.below(found.size())));
     m_time.note(item.content.job.value(), "the caller leaves");
-    m_events.leave(item.open->instance, item.open->caller);
+    m_events.leave(item.open->instance, item.open->caller, {});
     item.open.reset();
     item.only_refused = false;
     item.ended = true;
@@ -105,6 +170,10 @@
     m_time.note(id, "caller " + std::to_string(value.caller.value()) + " gets answer " +
                         std::to_string(static_cast<int>(value.kind)) + " " +
                         std::string(to_string(value.reason)));
+    if (const auto left = m_left.find(value.caller); left != m_left.end()) {
+        check_time(id, at, left->second);
+        return;
+    }
     if (item.ended && !item.open) {
         return;  // the caller has left; its instance has not heard of it yet
     }
@@ -114,11 +183,7 @@
     }
     ++m_answers.at(static_cast<std::size_t>(value.kind));
     const attempt ended = *std::exchange(item.open, std::nullopt);
-    const auto waited = std::chrono::duration_cast<milliseconds>(m_time.now() - ended.sent);
-    const milliseconds paused = m_events.paused_time(at) - ended.paused;
-    if (waited > item.content.time_limit + answer_slack + paused) {
-        m_events.broken_rule(id, "an answer after " + std::to_string(waited.count()) + " ms");
-    }
+    check_time(id, at, ended);
     item.only_refused = item.only_refused && value.kind == answer_kind::refused;
     if (value.kind == answer_kind::unknown_end && item.attempts < most_attempts) {
         submit_later(id, resend_delay);
@@ -128,6 +193,15 @@
     check_refusal(id);
 }
 
+void virtual_callers::check_time(const std::string& id, std::size_t at, const attempt& ended)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(m_time.now() - ended.sent);
+    const milliseconds paused = m_events.paused_time(at) - ended.paused;
+    if (waited > m_jobs.at(id).content.time_limit + answer_slack + paused) {
+        m_events.broken_rule(id, "an answer after " + std::to_string(waited.count()) + " ms");
+    }
+}
+
 void virtual_callers::check_refusal(const std::string& id)
 {
     const job& item = m_jobs.at(id);
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -19,7 +19,8 @@
         std::function<std::optional<std::size_t>(std::optional<std::size_t> to, routing::caller_id,
                                                  const routing::route&, const routing::caller_job&)>
             submit;
-        std::function<void(std::size_t at, routing::caller_id)> leave;
+        /// @param read_lag of an instance that wakes from a pause
+        std::function<void(std::size_t at, routing::caller_id, milliseconds read_lag)> leave;
         std::function<milliseconds(std::size_t at)> paused_time;
         std::function<void(const std::string& job, const std::string& what)> broken_rule;
     };
@@ -27,10 +28,17 @@
     virtual_callers(virtual_time& time, receivers events) : m_time(time), m_events(std::move(events)) {}
 
     void send_job();
+    /// A job like those of send_job(), sent to one instance first.
+    void send_job_to(std::size_t instance);
     /// A job of one shape, sent to one instance first.
     void send_job(std::size_t instance, std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     /// One caller of those that wait closes its connection.
     void give_up_one();
+    /// The connection of one caller breaks at its end while the instance works on; it sends the job again
+    /// through any instance.
+    void break_one();
+    /// From now on callers leave when the time limit of their request is over, and send the job again.
+    void keep_own_time_limits() { m_own_time_limits = true; }
     void on_answer(std::size_t at, const routing::answer_caller& value);
     void on_killed(std::size_t instance);
     void on_started(const workers::task_ref& task, const std::string& worker);
@@ -42,6 +50,8 @@
         return m_answers.at(static_cast<std::size_t>(kind));
     }
     std::size_t sent() const { return m_jobs.size(); }
+    /// Requests whose caller left and sent the job again while the first instance may have worked on.
+    std::size_t resent() const { return m_resent; }
 
 private:
     struct attempt {
@@ -60,15 +70,24 @@
         bool ended = false;
     };
 
+    std::string add_drawn();
     std::string add(std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     void submit(const std::string& id, std::optional<std::size_t> to = {});
     void submit_later(const std::string& id, milliseconds delay);
     void check_refusal(const std::string& id);
+    void check_time(const std::string& id, std::size_t at, const attempt& ended);
+    void leave_and_send_again(const std::string& id);
+    void leave_at_time_limit(const std::string& id, routing::caller_id caller);
+    std::vector<std::string> waiting() const;
 
     virtual_time& m_time;
     receivers m_events;
     std::map<std::string, job> m_jobs;
+    /// Attempts that their callers have left and whose instance may still answer.
+    std::map<routing::caller_id, attempt> m_left;
     std::uint64_t m_last_caller = 0;
+    std::size_t m_resent = 0;
+    bool m_own_time_limits = false;
     std::array<std::size_t, routing::answer_kind_count> m_answers{};
 };
 
--- a/tests/instance/fleet_cuts_test.cpp
+++ b/tests/instance/fleet_cuts_test.cpp
@@ -18,7 +18,7 @@
 /// Two data centres. The owner is in the second one, whose workers are busy when its job arrives, so that it
 /// goes to the holder of the first one.
 struct two_centres {
-    two_centres() : fleet(seed, 2)
+    two_centres() : fleet(seed, fleet_shape{})
     {
         fleet.advance(warm_up);
         holder = fleet.holder(0);
--- a/tests/instance/fleet_instance.cpp
+++ b/tests/instance/fleet_instance.cpp
@@ -248,8 +248,18 @@
     push([this, caller, target, job](time_point now) { m_router.on_job(now, caller, target, job); });
 }
 
-void virtual_instance::on_caller_left(routing::caller_id caller)
+void virtual_instance::on_caller_left(routing::caller_id caller, milliseconds read_lag)
 {
+    const time_point read_at = m_paused_until + read_lag;
+    if (read_lag > milliseconds(0) && m_world.time.now() < read_at) {
+        const auto left = std::chrono::duration_cast<milliseconds>(read_at - m_world.time.now());
+        m_world.time.after(left, [self = weak_from_this(), caller, read_lag] {
+            if (const auto alive = self.lock()) {
+                alive->on_caller_left(caller, read_lag);
+            }
+        });
+        return;
+    }
     push([this, caller](time_point now) { m_router.on_caller_left(now, caller); });
 }
 
--- a/tests/instance/fleet_instance.h
+++ b/tests/instance/fleet_instance.h
@@ -44,7 +44,8 @@
     void receive(std::size_t from, fleet_message message);
     void on_closed(std::size_t peer);
     void submit(routing::caller_id caller, const routing::route& target, const routing::caller_job& job);
-    void on_caller_left(routing::caller_id caller);
+    /// @param read_lag after a pause, how long after the requests that wait in front of it this is read
+    void on_caller_left(routing::caller_id caller, milliseconds read_lag = {});
 
 private:
     using event = std::function<void(time_point now)>;
--- a/tests/instance/fleet_links.cpp
+++ b/tests/instance/fleet_links.cpp
@@ -41,6 +41,9 @@
 void virtual_links::write(std::size_t from, std::size_t to, frame item)
 {
     direction& way = between(from, to);
+    if (item.message && m_time.now() < way.lost_until) {
+        return;
+    }
     if (way.cut) {
         way.held.push_back(std::move(item));
         return;
@@ -106,6 +109,12 @@
     way.extra_until = m_time.now() + length;
 }
 
+void virtual_links::lose(std::size_t from, std::size_t to, milliseconds length)
+{
+    direction& way = between(from, to);
+    way.lost_until = std::max(way.lost_until, m_time.now() + length);
+}
+
 void virtual_links::reset(std::size_t one, std::size_t other)
 {
     connection& link = of(one, other);
--- a/tests/instance/fleet_links.h
+++ b/tests/instance/fleet_links.h
@@ -28,6 +28,9 @@
     void send(std::size_t from, std::size_t to, fleet_message message);
     /// Nothing gets through in one direction for a time; overlapping cuts join.
     void cut(std::size_t from, std::size_t to, milliseconds length);
+    /// What is sent in one direction is lost for a time and no end notices, as when one of two connections
+    /// between two instances has gone silent.
+    void lose(std::size_t from, std::size_t to, milliseconds length);
     /// Frames of a direction take up to this much longer for a time.
     void slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length);
     /// The kernel may still send what the process had written, and ends its connections.
@@ -49,6 +52,7 @@
         time_point last_arrival;
         milliseconds extra{};
         time_point extra_until;
+        time_point lost_until;
     };
 
     struct connection {
--- a/tests/instance/fleet_store.h
+++ b/tests/instance/fleet_store.h
@@ -14,6 +14,12 @@
     std::shared_ptr<const routing::pool_map> directory;
 };
 
+/// What may happen to a claim; shares of all claims.
+struct claim_faults {
+    double late_answer = 0;  ///< written in time, and answered late
+    double deferred = 0;     ///< not answered, and written seconds later if its condition still holds
+};
+
 /// The platform's store, as far as holders of pools need it: records under a condition and a lease, and the
 /// list of workers.
 class virtual_store {
@@ -26,6 +32,11 @@
     void publish(routing::pool_map directory);
     /// Answers nobody for a time. Leases pause meanwhile, or lapse.
     void go_away(milliseconds length, bool leases_pause);
+    claim_faults& faults() { return m_faults; }
+    /// Ends the lease of a holder that is drawn; its records are removed at once.
+    void revoke_one();
+    /// An instance goes on reading what is stored now for a time.
+    void show_stale(std::size_t instance, milliseconds length);
     /// Reads everything and renews the lease. @param answer called unless the store is away
     void read(session from, std::function<void(store_view)> answer);
     /// Writes a holder if the record has a revision. @param answer called once, without a revision if the
@@ -34,6 +45,7 @@
                std::function<void(std::optional<std::uint64_t>)> answer);
     /// By the record; it must be there.
     const endpoint& holder(const routing::pool_id& pool) const { return m_items.at(pool).record.holder; }
+    bool has_holder(const routing::pool_id& pool) const { return m_items.contains(pool); }
     /// Ends leases.
     void step();
 
@@ -43,7 +55,13 @@
         session owner;
     };
 
+    struct stale_view {
+        time_point until;
+        store_view view;
+    };
+
     bool is_away() const { return m_time.now() < m_away_until; }
+    store_view current() const;
     std::optional<std::uint64_t> write(session from, const endpoint& holder,
                                        const routing::claim_pool& wanted);
 
@@ -53,6 +71,8 @@
     std::map<session, time_point> m_leases;
     std::uint64_t m_revision = 100;
     time_point m_away_until;
+    claim_faults m_faults;
+    std::map<std::size_t, stale_view> m_stale;  ///< by instance
 };
 
 }  // namespace poplarshed::instance::test
--- a/tests/instance/fleet_workers.cpp
+++ b/tests/instance/fleet_workers.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds longest_stop{50};
 // Between the two times that a doubled order is carried out.
 constexpr milliseconds longest_repeat{1200};
+constexpr milliseconds greatest_first_clock{50};
 constexpr std::int64_t longest_lease_ms = 1000;
 constexpr double greatest_clock_drift = 0.02;
 constexpr std::int64_t capacity_cpu = 32'000;
@@ -86,7 +87,8 @@
     routing::pool_map pools;
     for (const worker& on : m_workers) {
         if (on.in_directory) {
-            pools[routing::pool_id(on.entry.data_centre.value() + "/desk/0")].push_back(on.entry);
+            pools[routing::pool_id(on.entry.data_centre.value() + "/desk/0")].push_back(
+                on.shown.value_or(on.entry));
         }
     }
     return pools;
@@ -139,6 +141,29 @@
     m_events.directory_changed();
 }
 
+void virtual_workers::crash_unseen(std::size_t index)
+{
+    worker& on = m_workers.at(index);
+    if (!on.shown) {
+        on.shown = on.entry;
+    }
+    crash(index);
+}
+
+void virtual_workers::come_back_unseen(std::size_t index)
+{
+    worker& on = m_workers.at(index);
+    on.up = true;
+    on.born = m_time.now();
+    on.clock_base = m_time.between(milliseconds(0), greatest_first_clock).count();
+}
+
+void virtual_workers::show_present(std::size_t index)
+{
+    m_workers.at(index).shown.reset();
+    m_events.directory_changed();
+}
+
 void virtual_workers::send(std::size_t sender, const pending_order& order,
                            std::function<void(order_answer)> answer)
 {
--- a/tests/instance/fleet_workers.h
+++ b/tests/instance/fleet_workers.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "instance/fleet_time.h"
@@ -49,6 +50,12 @@
     void listed(std::size_t index, bool in_directory);
     void crash(std::size_t index);
     void come_back(std::size_t index);
+    /// A new process takes the worker's place under its id, with a clock that starts near 0; the directory
+    /// goes on to show the former one.
+    void crash_unseen(std::size_t index);
+    void come_back_unseen(std::size_t index);
+    /// The directory shows the present process from now on.
+    void show_present(std::size_t index);
     bool is_up(std::size_t index) const { return m_workers.at(index).up; }
 
     /// Workers by pool, as the store lists them.
@@ -68,6 +75,7 @@
         order_faults faults;
         bool up = true;
         bool in_directory = true;
+        std::optional<workers::worker_entry> shown;  ///< in the directory, while that is behind
         std::set<std::size_t> cut_off;
         double clock_rate = 1;
         time_point born;
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -11,6 +11,11 @@
 constexpr milliseconds entry_lapse{1500};
 constexpr milliseconds greatest_wall_offset{2000};
 
+std::size_t addresses_of(const fleet_shape& shape)
+{
+    return shape.data_centres * (shape.instances_in_each + shape.spares_in_each);
+}
+
 std::vector<std::string> names_of(std::size_t data_centres)
 {
     const std::vector<std::string> all{"adur", "bera", "cala"};
@@ -26,38 +31,52 @@
     refused += other.refused;
     unknown += other.unknown;
     starts += other.starts;
+    resent += other.resent;
 }
 
-virtual_fleet::virtual_fleet(std::uint64_t seed, std::size_t data_centres)
+virtual_fleet::virtual_fleet(std::uint64_t seed, const fleet_shape& shape)
     : m_time(seed),
-      m_data_centres(names_of(data_centres)),
-      m_instances(data_centres * instances_in_each),
-      m_lives(data_centres * instances_in_each),
-      m_worker_cuts(data_centres * workers_in_each),
+      m_data_centres(names_of(shape.data_centres)),
+      m_instances(addresses_of(shape)),
+      m_lives(addresses_of(shape)),
+      m_worker_cuts(shape.data_centres * workers_in_each),
       m_store(m_time),
       m_workers(m_time, m_data_centres, workers_in_each, worker_events()),
-      m_links(m_time, data_centres * instances_in_each, link_events()),
+      m_links(m_time, addresses_of(shape), link_events()),
       m_callers(m_time, caller_events())
 {
-    for (const std::string& centre : m_data_centres) {
-        for (std::size_t i = 0; i < instances_in_each; ++i) {
-            instance_identity added;
-            added.index = m_identities.size();
-            added.address = endpoint(centre + "-" + std::to_string(i));
-            added.data_centre = data_centre_id(centre);
-            added.clock_offset = m_time.between(milliseconds(0), milliseconds(500'000));
-            added.wall_offset = m_time.between(-greatest_wall_offset, greatest_wall_offset);
-            m_addresses.push_back(added.address);
-            m_identities.push_back(std::move(added));
+    for (std::size_t centre = 0; centre < shape.data_centres; ++centre) {
+        for (std::size_t i = 0; i < shape.instances_in_each; ++i) {
+            add_instance(centre, i);
+        }
+    }
+    const std::size_t first_spare = m_identities.size();
+    for (std::size_t centre = 0; centre < shape.data_centres; ++centre) {
+        for (std::size_t i = 0; i < shape.spares_in_each; ++i) {
+            m_spares.push_back(m_identities.size());
+            add_instance(centre, shape.instances_in_each + i);
         }
     }
     m_store.publish(m_workers.directory());
     const bool knows_all_workers = m_time.chance(0.6);
-    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    for (std::size_t i = 0; i < first_spare; ++i) {
         start_instance(i, knows_all_workers);
     }
 }
 
+void virtual_fleet::add_instance(std::size_t data_centre, std::size_t number)
+{
+    const std::string& centre = m_data_centres.at(data_centre);
+    instance_identity added;
+    added.index = m_identities.size();
+    added.address = endpoint(centre + "-" + std::to_string(number));
+    added.data_centre = data_centre_id(centre);
+    added.clock_offset = m_time.between(milliseconds(0), milliseconds(500'000));
+    added.wall_offset = m_time.between(-greatest_wall_offset, greatest_wall_offset);
+    m_addresses.push_back(added.address);
+    m_identities.push_back(std::move(added));
+}
+
 void virtual_fleet::start_instance(std::size_t index, bool knows_all_workers)
 {
     m_instances.at(index) = std::make_shared<virtual_instance>(
@@ -96,8 +115,10 @@
     events.submit = [this](std::optional<std::size_t> to, routing::caller_id caller,
                            const routing::route& target,
                            const routing::caller_job& job) { return submit(to, caller, target, job); };
-    events.leave = [this](std::size_t at, routing::caller_id caller) {
-        m_instances.at(at)->on_caller_left(caller);
+    events.leave = [this](std::size_t at, routing::caller_id caller, milliseconds read_lag) {
+        if (is_alive(at)) {
+            m_instances.at(at)->on_caller_left(caller, read_lag);
+        }
     };
     events.paused_time = [this](std::size_t at) { return m_instances.at(at)->paused_time(); };
     events.broken_rule = [this](const std::string& job, const std::string& what) { break_rule(job, what); };
@@ -128,6 +149,11 @@
     return static_cast<std::size_t>(std::distance(m_addresses.begin(), found));
 }
 
+bool virtual_fleet::has_holder(std::size_t data_centre) const
+{
+    return m_store.has_holder(routing::pool_id(m_data_centres.at(data_centre) + "/desk/0"));
+}
+
 void virtual_fleet::break_rule(const std::string& job, const std::string& what)
 {
     m_violations.push_back(std::to_string(m_time.elapsed().count()) + " ms " + what + ", job " + job +
@@ -171,6 +197,12 @@
     }
 }
 
+void virtual_fleet::lose_frames(std::size_t from, std::size_t to, milliseconds length)
+{
+    note_fault("frames lost from " + name(from) + " to " + name(to), length);
+    m_links.lose(from, to, length);
+}
+
 void virtual_fleet::slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length)
 {
     note_fault(
@@ -193,9 +225,19 @@
         return;
     }
     note_fault("end of " + name(index), until_start);
+    end_instance(index);
+    start_again(index, until_start);
+}
+
+void virtual_fleet::end_instance(std::size_t index)
+{
     m_instances.at(index).reset();
     m_links.on_killed(index);
     m_callers.on_killed(index);
+}
+
+void virtual_fleet::start_again(std::size_t index, milliseconds until_start)
+{
     m_time.after(until_start, [this, index] {
         m_time.note({}, "start of " + name(index));
         start_instance(index, false);
@@ -203,13 +245,28 @@
     });
 }
 
+void virtual_fleet::replace(std::size_t index, milliseconds until_start)
+{
+    const auto spare = std::find_if(m_spares.begin(), m_spares.end(), [this, index](std::size_t other) {
+        return m_identities.at(other).data_centre == m_identities.at(index).data_centre;
+    });
+    if (!is_alive(index) || spare == m_spares.end()) {
+        return;
+    }
+    note_fault("end for good of " + name(index) + ", replaced by " + name(*spare), until_start);
+    end_instance(index);
+    start_again(*spare, until_start);
+    m_spares.erase(spare);
+}
+
 void virtual_fleet::cut_off_worker(std::size_t index, milliseconds length)
 {
     // From all instances and at times the store, or only from the instances of one data centre.
     std::set<std::size_t> instances;
     const std::size_t centre = m_time.below(m_data_centres.size() * 2);
     for (std::size_t i = 0; i < size(); ++i) {
-        if (centre >= m_data_centres.size() || i / instances_in_each == centre) {
+        if (centre >= m_data_centres.size() ||
+            m_identities.at(i).data_centre.value() == m_data_centres.at(centre)) {
             instances.insert(i);
         }
     }
@@ -247,6 +304,31 @@
     m_time.after(until_start, [this, index] { m_workers.come_back(index); });
 }
 
+void virtual_fleet::restart_worker(std::size_t index, milliseconds until_start, milliseconds until_shown)
+{
+    if (!m_workers.is_up(index)) {
+        return;
+    }
+    note_fault("restart of worker " + std::to_string(index) + ", shown " +
+                   std::to_string(until_shown.count()) + " ms later, down",
+               until_start);
+    m_workers.crash_unseen(index);
+    m_time.after(until_start, [this, index] { m_workers.come_back_unseen(index); });
+    m_time.after(until_start + until_shown, [this, index] { m_workers.show_present(index); });
+}
+
+void virtual_fleet::revoke_record()
+{
+    m_time.note({}, "FAULT a record is revoked");
+    m_store.revoke_one();
+}
+
+void virtual_fleet::show_stale_store(std::size_t index, milliseconds length)
+{
+    note_fault("stale reads of " + name(index), length);
+    m_store.show_stale(index, length);
+}
+
 void virtual_fleet::check_end()
 {
     m_callers.check_answered();
@@ -258,8 +340,12 @@
 fleet_coverage virtual_fleet::coverage() const
 {
     using routing::answer_kind;
-    return {m_callers.sent(), m_callers.answers(answer_kind::completed),
-            m_callers.answers(answer_kind::refused), m_callers.answers(answer_kind::unknown_end), m_starts};
+    return {m_callers.sent(),
+            m_callers.answers(answer_kind::completed),
+            m_callers.answers(answer_kind::refused),
+            m_callers.answers(answer_kind::unknown_end),
+            m_starts,
+            m_callers.resent()};
 }
 
 }  // namespace poplarshed::instance::test
--- a/tests/instance/fleet_world.h
+++ b/tests/instance/fleet_world.h
@@ -12,35 +12,53 @@
     std::size_t refused = 0;
     std::size_t unknown = 0;
     std::size_t starts = 0;
+    std::size_t resent = 0;  ///< while the first instance may have worked on
 
     void add(const fleet_coverage& other);
 };
 
+/// How many of each kind a fleet has.
+struct fleet_shape {
+    std::size_t data_centres = 2;
+    std::size_t instances_in_each = 2;
+    std::size_t spares_in_each = 0;  ///< addresses of instances that replace others
+};
+
 /// Instances of several data centres with their links, workers, store and callers.
 class virtual_fleet {
 public:
-    static constexpr std::size_t instances_in_each = 2;
     static constexpr std::size_t workers_in_each = 3;
 
-    virtual_fleet(std::uint64_t seed, std::size_t data_centres);
+    virtual_fleet(std::uint64_t seed, const fleet_shape& shape);
 
     void advance(milliseconds time);
     virtual_time& time() { return m_time; }
     virtual_callers& callers() { return m_callers; }
     virtual_workers& workers() { return m_workers; }
     virtual_store& store() { return m_store; }
+    /// Includes the spare addresses.
     std::size_t size() const { return m_identities.size(); }
+    std::size_t data_centres() const { return m_data_centres.size(); }
     /// The instance that the store names as the holder of a data centre's pool.
     std::size_t holder(std::size_t data_centre) const;
+    bool has_holder(std::size_t data_centre) const;
     bool is_alive(std::size_t index) const { return m_instances.at(index) != nullptr; }
 
     void cut(std::size_t from, std::size_t to, milliseconds length);
     void cut_off_instance(std::size_t index, milliseconds length);
+    /// Frames in one direction are lost; the other one and new connections work.
+    void lose_frames(std::size_t from, std::size_t to, milliseconds length);
     void slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length);
     void pause(std::size_t index, milliseconds length);
     void kill(std::size_t index, milliseconds until_start);
+    /// Ends an instance for good; one at another address of its data centre starts later, if there is one.
+    void replace(std::size_t index, milliseconds until_start);
     void cut_off_worker(std::size_t index, milliseconds length);
     void crash_worker(std::size_t index, milliseconds until_start);
+    /// The worker restarts under its id; the directory shows it `until_shown` after that.
+    void restart_worker(std::size_t index, milliseconds until_start, milliseconds until_shown);
+    void revoke_record();
+    void show_stale_store(std::size_t index, milliseconds length);
 
     /// Breaks a rule for what is left when every job has ended.
     void check_end();
@@ -49,6 +67,9 @@
     fleet_coverage coverage() const;
 
 private:
+    void add_instance(std::size_t data_centre, std::size_t number);
+    void end_instance(std::size_t index);
+    void start_again(std::size_t index, milliseconds until_start);
     void start_instance(std::size_t index, bool knows_all_workers);
     std::optional<std::size_t> submit(std::optional<std::size_t> to, routing::caller_id caller,
                                       const routing::route& target, const routing::caller_job& job);
@@ -66,6 +87,7 @@
     std::vector<std::shared_ptr<virtual_instance>> m_instances;
     std::vector<std::uint64_t> m_lives;
     std::vector<std::uint64_t> m_worker_cuts;
+    std::vector<std::size_t> m_spares;  ///< that have not started yet
     virtual_store m_store;
     virtual_workers m_workers;
     virtual_links m_links;
