tests/instance: callers that leave behind a pause, a cut or lost frames

A caller breaks its connection as a fault of its first owner begins, or while its request waits in front of a paused instance, which reads the request some milliseconds before the end of the connection (up to 90 ms where the processor share is a quota).

--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -17,8 +17,11 @@
 // Until an instance hears that a caller has left.
 constexpr milliseconds longest_notice{30};
 constexpr milliseconds greatest_resend_spread{400};
-// An instance that wakes reads the request first, and some turns later that its connection is closed.
+// An instance that wakes reads the request first, and some turns later that its connection is closed; where
+// its share of a processor is a quota, up to a tenth of a second later.
 constexpr milliseconds greatest_read_lag{8};
+constexpr milliseconds greatest_quota_lag{90};
+constexpr double share_of_quota_lags = 0.2;
 
 routing::route desk_route()
 {
@@ -38,9 +41,16 @@
     submit(add_drawn());
 }
 
-void virtual_callers::send_job_to(std::size_t instance)
+void virtual_callers::send_job_to(std::size_t instance, milliseconds leaves_after)
 {
-    submit(add_drawn(), instance);
+    const std::string id = add_drawn();
+    submit(id, instance);
+    m_time.after(leaves_after, [this, id, caller = m_last_caller] {
+        const job& item = m_jobs.at(id);
+        if (item.open && item.open->caller.value() == caller) {
+            leave_and_send_again(id);
+        }
+    });
 }
 
 std::string virtual_callers::add_drawn()
@@ -108,12 +118,16 @@
     return found;
 }
 
-void virtual_callers::break_one()
+std::optional<std::size_t> virtual_callers::break_one()
 {
     const std::vector<std::string> found = waiting();
-    if (!found.empty()) {
-        leave_and_send_again(found.at(m_time.below(found.size())));
+    if (found.empty()) {
+        return std::nullopt;
     }
+    const std::string& id = found.at(m_time.below(found.size()));
+    const std::size_t instance = m_jobs.at(id).open->instance;
+    leave_and_send_again(id);
+    return instance;
 }
 
 void virtual_callers::leave_and_send_again(const std::string& id)
@@ -124,7 +138,8 @@
                         std::to_string(left.instance));
     m_left.emplace(left.caller, left);
     item.only_refused = false;
-    const milliseconds read_lag = m_time.between(milliseconds(1), greatest_read_lag);
+    const milliseconds read_lag = m_time.between(
+        milliseconds(1), m_time.chance(share_of_quota_lags) ? greatest_quota_lag : greatest_read_lag);
     m_time.after(m_time.between(milliseconds(1), longest_notice),
                  [this, left, read_lag] { m_events.leave(left.instance, left.caller, read_lag); });
     if (item.attempts < most_attempts) {
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -29,14 +29,15 @@
 
     void send_job();
     /// A job like those of send_job(), sent to one instance first.
-    void send_job_to(std::size_t instance);
+    /// @param leaves_after the caller's connection breaks if there is no answer by then
+    void send_job_to(std::size_t instance, milliseconds leaves_after);
     /// A job of one shape, sent to one instance first.
     void send_job(std::size_t instance, std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     /// One caller of those that wait closes its connection.
     void give_up_one();
     /// The connection of one caller breaks at its end while the instance works on; it sends the job again
-    /// through any instance.
-    void break_one();
+    /// through any instance. @returns the instance that it has left; nothing if no caller waits
+    std::optional<std::size_t> break_one();
     /// From now on callers leave when the time limit of their request is over, and send the job again.
     void keep_own_time_limits() { m_own_time_limits = true; }
     void on_answer(std::size_t at, const routing::answer_caller& value);
--- a/tests/instance/fleet_overlap_test.cpp
+++ b/tests/instance/fleet_overlap_test.cpp
@@ -31,6 +31,29 @@
     }
 }
 
+// The first owner's cancel meets a fault that begins as its caller leaves.
+void break_caller_of_disturbed_owner(virtual_fleet& fleet)
+{
+    const auto owner = fleet.callers().break_one();
+    if (!owner) {
+        return;
+    }
+    virtual_time& time = fleet.time();
+    const milliseconds length = time.between(milliseconds(300), milliseconds(3000));
+    const std::uint64_t kind = time.below(3);
+    if (kind == 0) {
+        fleet.cut_off_instance(*owner, length);
+    } else if (kind == 1) {
+        fleet.pause(*owner, length);
+    } else {
+        for (std::size_t other = 0; other < fleet.size(); ++other) {
+            if (other != *owner) {
+                fleet.lose_frames(*owner, other, length);
+            }
+        }
+    }
+}
+
 // A request that a paused instance reads late; its caller may have sent it again by then.
 void pause_in_front_of_requests(virtual_fleet& fleet)
 {
@@ -38,20 +61,19 @@
     if (!fleet.is_alive(index)) {
         return;
     }
-    fleet.pause(index, fleet.time().between(milliseconds(700), milliseconds(3500)));
+    const milliseconds length = fleet.time().between(milliseconds(1350), milliseconds(3500));
+    fleet.pause(index, length);
     const std::size_t jobs = 1 + fleet.time().below(3);
     for (std::size_t i = 0; i < jobs; ++i) {
-        fleet.callers().send_job_to(index);
+        fleet.callers().send_job_to(index, fleet.time().between({}, length - milliseconds(1300)));
     }
 }
 
 void resubmit(virtual_fleet& fleet)
 {
-    if (fleet.time().chance(0.7)) {
-        break_callers(fleet);
-    } else {
-        pause_in_front_of_requests(fleet);
-    }
+    constexpr std::array<fault, 3> all{break_callers, break_caller_of_disturbed_owner,
+                                       pause_in_front_of_requests};
+    all.at(fleet.time().below(all.size()))(fleet);
 }
 
 void lose_frames(virtual_fleet& fleet)
