tests/instance: isolate holders while workers restart unseen

A holder that is cut from its peers and reads a stale store is superseded while workers of its pool restart.

--- a/tests/instance/fleet_overlap_test.cpp
+++ b/tests/instance/fleet_overlap_test.cpp
@@ -101,14 +101,44 @@
     fleet.replace(any_instance(fleet), fleet.time().between(milliseconds(100), milliseconds(3000)));
 }
 
-void restart_worker(virtual_fleet& fleet)
+void restart_worker(virtual_fleet& fleet, std::size_t index)
 {
     virtual_time& time = fleet.time();
-    fleet.restart_worker(time.below(fleet.workers().size()),
-                         time.between(milliseconds(50), milliseconds(300)),
+    fleet.restart_worker(index, time.between(milliseconds(50), milliseconds(300)),
                          time.between({}, milliseconds(1500)));
 }
 
+// A holder that hears neither its peers nor news of the store, so that another instance takes its pool, while
+// workers of the pool forget the new holder's token.
+void isolate_holder(virtual_fleet& fleet)
+{
+    virtual_time& time = fleet.time();
+    const std::size_t data_centre = time.below(fleet.data_centres());
+    if (!fleet.has_holder(data_centre)) {
+        return;
+    }
+    const std::size_t holder = fleet.holder(data_centre);
+    const milliseconds length = time.between(milliseconds(800), milliseconds(3000));
+    fleet.cut_off_instance(holder, length);
+    fleet.show_stale_store(holder, length);
+    const std::size_t restarts = 1 + time.below(3);
+    for (std::size_t i = 0; i < restarts; ++i) {
+        const std::size_t worker =
+            data_centre * virtual_fleet::workers_in_each + time.below(virtual_fleet::workers_in_each);
+        time.after(time.between(milliseconds(300), length),
+                   [&fleet, worker] { restart_worker(fleet, worker); });
+    }
+}
+
+void restart_workers(virtual_fleet& fleet)
+{
+    if (fleet.time().chance(0.4)) {
+        isolate_holder(fleet);
+    } else {
+        restart_worker(fleet, fleet.time().below(fleet.workers().size()));
+    }
+}
+
 // Just below a time-out: the grant of an offer, the silence of a peer, and the owner's wait.
 milliseconds length_below_timeout(virtual_time& time)
 {
@@ -180,9 +210,12 @@
 
 void disturb_anything(virtual_fleet& fleet)
 {
-    constexpr std::array<fault, 6> all{resubmit,         lose_frames,    disturb_store,
-                                       replace_instance, restart_worker, disturb_in_series};
-    all.at(fleet.time().below(all.size()))(fleet);
+    constexpr std::array<fault, 6> all{resubmit,         lose_frames,     disturb_store,
+                                       replace_instance, restart_workers, disturb_in_series};
+    const std::size_t count = 1 + fleet.time().below(3);
+    for (std::size_t i = 0; i < count; ++i) {
+        all.at(fleet.time().below(all.size()))(fleet);
+    }
 }
 
 void run_step(virtual_fleet& fleet, fault added)
@@ -259,7 +292,7 @@
 // Guards against knowledge of a worker that outlives the worker's process.
 BOOST_AUTO_TEST_CASE(a_worker_that_restarts_unseen_runs_no_task_twice)
 {
-    check_schedules(restart_worker);
+    check_schedules(restart_workers);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
