--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -19,7 +19,8 @@
         std::function<std::optional<std::size_t>(std::optional<std::size_t> to, routing::caller_id,
                                                  const routing::route&, const routing::caller_job&)>
             submit;
-        std::function<void(std::size_t at, routing::caller_id)> leave;
+        /// @param read_lag of an instance that wakes from a pause
+        std::function<void(std::size_t at, routing::caller_id, milliseconds read_lag)> leave;
         std::function<milliseconds(std::size_t at)> paused_time;
         std::function<void(const std::string& job, const std::string& what)> broken_rule;
     };
@@ -27,6 +28,9 @@
     virtual_callers(virtual_time& time, receivers events) : m_time(time), m_events(std::move(events)) {}
 
     void send_job();
+    /// A job like those of send_job(), sent to one instance first.
+    /// @param leaves_after the caller's connection breaks if there is no answer by then
+    void send_job_to(std::size_t instance, milliseconds leaves_after);
     /// A job of one shape, sent to one instance first.
     void send_job(std::size_t instance, std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     /// One caller of those that wait closes its connection.
@@ -34,6 +38,11 @@
     /// The connections of the callers that wait at an instance break; they send their jobs again through
     /// another one.
     void break_connections(std::size_t at, std::size_t resend_to);
+    /// The connection of one caller breaks at its end while the instance works on; it sends the job again
+    /// through any instance. @returns the instance that it has left; nothing if no caller waits
+    std::optional<std::size_t> break_one();
+    /// From now on callers leave when the time limit of their request is over, and send the job again.
+    void keep_own_time_limits() { m_own_time_limits = true; }
     void on_answer(std::size_t at, const routing::answer_caller& value);
     void on_killed(std::size_t instance);
     void on_started(const workers::task_ref& task, const std::string& worker);
@@ -45,6 +54,8 @@
         return m_answers.at(static_cast<std::size_t>(kind));
     }
     std::size_t sent() const { return m_jobs.size(); }
+    /// Requests whose caller left and sent the job again while the first instance may have worked on.
+    std::size_t resent() const { return m_resent; }
 
 private:
     struct attempt {
@@ -63,18 +74,24 @@
         bool ended = false;
     };
 
+    std::string add_drawn();
     std::string add(std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     void submit(const std::string& id, std::optional<std::size_t> to = {});
     void submit_later(const std::string& id, milliseconds delay, std::optional<std::size_t> to = {});
-    /// Closes the connection of the open attempt.
-    void leave(job& item);
     void check_refusal(const std::string& id);
+    void check_time(const std::string& id, std::size_t at, const attempt& ended);
+    void leave_and_send_again(const std::string& id);
+    void leave_at_time_limit(const std::string& id, routing::caller_id caller);
+    std::vector<std::string> waiting() const;
 
     virtual_time& m_time;
     receivers m_events;
     std::map<std::string, job> m_jobs;
+    /// Attempts that their callers have left and whose instance may still answer.
+    std::map<routing::caller_id, attempt> m_left;
     std::uint64_t m_last_caller = 0;
-    std::set<routing::caller_id> m_left;  ///< callers that have closed their connections
+    std::size_t m_resent = 0;
+    bool m_own_time_limits = false;
     std::array<std::size_t, routing::answer_kind_count> m_answers{};
 };
 
--- a/tests/instance/fleet_instance.h
+++ b/tests/instance/fleet_instance.h
@@ -44,15 +44,14 @@
     void receive(std::size_t from, fleet_message message);
     void on_closed(std::size_t peer);
     void submit(routing::caller_id caller, const routing::route& target, const routing::caller_job& job);
-    void on_caller_left(routing::caller_id caller);
+    /// @param read_lag after a pause, how long after the requests that wait in front of it this is read
+    void on_caller_left(routing::caller_id caller, milliseconds read_lag = {});
 
 private:
     using event = std::function<void(time_point now)>;
 
     void push(event item) { m_inbox.push_back(std::move(item)); }
-    void push_frame(event item) { push_after_pause(m_network_lag, std::move(item)); }
-    /// Handles the event at once, or this long after the end of a pause.
-    void push_after_pause(milliseconds lag, event item);
+    void push_frame(event item);
     void check_for_pause(time_point now);
     void run_timers(time_point now);
     void pump(time_point now);
@@ -78,6 +77,7 @@
     void handle(time_point now, workers::job_progress& message);
     void handle(time_point now, workers::job_result& message);
     void send(time_point now, const endpoint& to, fleet_message message);
+    bool has_caller(time_point now, const routing::job_id& job);
     void execute(time_point now, routing::routing_action& action);
 
     void send_order(pending_order order) override;
@@ -104,6 +104,7 @@
     time_point m_worker_lapsed;
     std::vector<event> m_inbox;
     time_point m_paused_until;
+    std::set<routing::caller_id> m_closed_connections;  ///< as the kernel knows
     milliseconds m_paused_time{};
     milliseconds m_network_lag{};  ///< of the network's thread behind the core's after a pause
     time_point m_last_turn;
