workers: list workers again once a former holder's grant has ended

Callers saw two runs of one task at one time when a pool changed hands and a worker restarted under its id.

Cause: a task that a former holder may have started was started elsewhere as soon as every worker had been listed once under the new token.

Change: only lists sent after the former holder's grant has ended count; the runs that it started last show in them. The end is derived from the offer: uncertain_for counts from it, plus the lease and the margin. Idle workers are listed once at that time, and long polls are shortened so that they end then. A pool without uncertain tasks sends the same lists as before. A holder also starts nothing between the end of its own grant and its next tick.

--- a/source/workers/grant.h
+++ b/source/workers/grant.h
@@ -33,6 +33,10 @@
 /// run.
 inline constexpr milliseconds reassignment_delay = offer_validity + max_worker_lease + clock_drift_margin;
 
+/// The former holder can start nothing more this long before the end of reassignment_delay, since its grant
+/// has expired. What it has started may still run.
+inline constexpr milliseconds expired_grant_delay = reassignment_delay - offer_validity;
+
 /// Expiry of grants of owners that send no clock (previous release). They are valid until the owner counts
 /// as unreachable.
 inline constexpr time_point unlimited_grant = time_point::max() - std::chrono::hours(1);
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -141,6 +141,7 @@
         /// before it received the command, and then has granted the maximum lease.
         time_point long_leases_expire_at;
         time_point list_sent;
+        time_point answered_list_sent;  ///< sending time of the last list that was answered
         time_point next_list;
         time_point no_start_until;
         std::optional<std::int64_t> clock_offset_ms;  ///< the worker's clock minus the local steady clock
@@ -189,7 +190,17 @@
     std::optional<worker_id> select_worker(time_point now, const job_record& job, std::uint32_t number);
     void start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker);
     bool is_usable(time_point now, const worker_record& worker) const;
-    bool all_workers_listed() const;
+    /// True when every worker has answered a list that was sent at or after this time.
+    bool all_workers_listed(time_point since) const;
+    /// Time after which a former holder of the job starts nothing more.
+    static time_point last_former_start(const job_record& job);
+    /// True if tasks wait for the end of runs that a former holder may have started.
+    static bool awaits_former_runs(time_point now, const job_record& job);
+    /// Time after which lists must be sent before tasks that await former runs can start; the latest of those
+    /// that have passed.
+    time_point lists_needed_since(time_point now) const;
+    /// Time that a worker may delay its answer to a list sent now.
+    milliseconds list_wait(time_point now, const worker_record& worker) const;
     milliseconds expected_duration(time_point now, const worker_record& worker, const job_step& step) const;
     double mean_ratio(time_point now) const;
     queue_rank rank(time_point now, const job_record& job, double ratio) const;
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -137,7 +137,7 @@
     if (worker.listed && !worker.unreachable && !worker.runs.empty() && worker.clock_offset_ms &&
         until > now) {
         command.lease_until_ms = worker_time(until, worker);
-        command.wait = m_options.list_wait;
+        command.wait = list_wait(now, worker);
         extend_leases(now, worker);
     }
     ++worker.lists_sent;
@@ -243,6 +243,7 @@
     const bool list_state_lost =
         worker.unreachable || !worker.listed || answer.incarnation != worker.incarnation;
     worker.list_pending = false;
+    worker.answered_list_sent = worker.list_sent;
     worker.unanswered_lists = 0;
     if (worker.unreachable) {
         worker.unreachable = false;
@@ -553,6 +554,7 @@
         return;
     }
     expire_grants(now);
+    const time_point listed_since = lists_needed_since(now);
     for (auto& [id, worker] : m_workers) {
         check_runs(now, worker);
         std::erase_if(worker.abandoned,
@@ -562,7 +564,7 @@
         }
         const bool clock_known = worker.clock_offset_ms && now < worker.clock_updated_at + max_clock_age;
         const bool idle = worker.listed && worker.runs.empty() && !worker.unreachable &&
-                          !worker.ends_pending && clock_known;
+                          !worker.ends_pending && clock_known && worker.answered_list_sent >= listed_since;
         if (!worker.list_pending && !idle && now >= worker.next_list) {
             send_list(now, worker);
         }
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -32,12 +32,54 @@
            now >= worker.no_start_until && now >= worker.ejected_until && worker.clock_offset_ms.has_value();
 }
 
-// True when every worker has been listed under this pool's token, so that no former holder can renew a lease
-// there. False while the directory is incomplete: entries missing after an outage of it may return.
-bool pool::all_workers_listed() const
+// A list shows the runs of former holders, and no command of theirs is executed after it, unless the worker
+// restarts and forgets the token. So only lists sent after a former holder's last start count for its job.
+// False while the directory is incomplete: entries missing after an outage of it may return.
+bool pool::all_workers_listed(time_point since) const
 {
-    return m_directory_complete && std::all_of(m_workers.begin(), m_workers.end(),
-                                               [](const auto& entry) { return entry.second.listed; });
+    return m_directory_complete &&
+           std::all_of(m_workers.begin(), m_workers.end(), [since](const auto& entry) {
+               return entry.second.listed && entry.second.answered_list_sent >= since;
+           });
+}
+
+time_point pool::last_former_start(const job_record& job)
+{
+    return job.uncertain_until - expired_grant_delay;
+}
+
+bool pool::awaits_former_runs(time_point now, const job_record& job)
+{
+    return now < job.uncertain_until && job.waiting > 0 &&
+           std::any_of(job.uncertain.begin(), job.uncertain.end(), [&job](std::uint32_t number) {
+               return number < job.tasks.size() && job.tasks[number].state == task_state::waiting;
+           });
+}
+
+time_point pool::lists_needed_since(time_point now) const
+{
+    time_point since{};
+    for (const auto& [id, job] : m_jobs) {
+        const time_point last_start = last_former_start(*job);
+        if (m_directory_complete && last_start <= now && last_start > since &&
+            awaits_former_runs(now, *job)) {
+            since = last_start;
+        }
+    }
+    return since;
+}
+
+milliseconds pool::list_wait(time_point now, const worker_record& worker) const
+{
+    milliseconds wait = m_options.list_wait;
+    for (const auto& [id, job] : m_jobs) {
+        const time_point last_start = last_former_start(*job);
+        if (m_directory_complete && worker.answered_list_sent < last_start && awaits_former_runs(now, *job)) {
+            const auto left = std::chrono::ceil<milliseconds>(last_start - now);
+            wait = std::clamp(left, milliseconds(0), wait);
+        }
+    }
+    return wait;
 }
 
 milliseconds pool::expected_duration(time_point now, const worker_record& worker, const job_step& step) const
@@ -142,11 +184,16 @@
     if (m_fenced) {
         return;
     }
-    const bool all_known = all_workers_listed();
     for (job_record* job : waiting_in_order(now)) {
+        // The owner may assign the job to another holder some time after the grant has expired.
+        if (now > job->granted_until) {
+            continue;
+        }
+        const bool former_runs_known =
+            now >= job->uncertain_until || all_workers_listed(last_former_start(*job));
         for (std::uint32_t number = 0; number < job->tasks.size() && job->waiting > 0; ++number) {
             if (job->tasks[number].state != task_state::waiting ||
-                (!all_known && now < job->uncertain_until && job->uncertain.contains(number))) {
+                (!former_runs_known && job->uncertain.contains(number))) {
                 continue;
             }
             if (!place_task(now, *job, number)) {
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -114,6 +114,96 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_former_holder_may_still_act)
+
+/// An offer of a job whose former holder can start tasks for some more time.
+job_offer offer_with_former_holder(milliseconds may_start_for)
+{
+    job_offer again = pool_fixture::offer("j", 1, milliseconds(900));
+    again.may_have_run = true;
+    again.uncertain_tasks = {0};
+    again.uncertain_for = may_start_for + expired_grant_delay;
+    return again;
+}
+
+// A worker that restarts after its list has forgotten the token, so a former holder that is cut off can start
+// a task there. Guards against a second run of it (seed 5079 of the fleet schedules).
+BOOST_AUTO_TEST_CASE(a_list_sent_before_its_grant_ends_does_not_count)
+{
+    pool_fixture world(2);
+    world.list(0);
+    world.list(1);
+    world.offer_job(offer_with_former_holder(milliseconds(100)));
+    world.advance(milliseconds(90));
+    BOOST_TEST(world.starts.empty());
+    world.advance(milliseconds(20));
+    world.list(0, {{{job_id("j"), 0, 0}, run_number(5), 0}}, {}, 2, 300);
+    world.list(1, {}, {}, 1, 5110);
+    BOOST_TEST(world.starts.empty());
+    world.list(0, {}, {{1, {job_id("j"), 0, 0}, run_number(5), run_end::done}}, 2, 320);
+    BOOST_TEST(world.starts.empty());
+    BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+    BOOST_TEST((world.results[0].end == job_end::completed));
+}
+
+// Guards against tasks that wait for the next regular list of an idle worker.
+BOOST_AUTO_TEST_CASE(all_workers_are_listed_as_soon_as_its_grant_has_ended)
+{
+    pool_fixture world(2);
+    world.list(0);
+    world.list(1);
+    world.lists.clear();
+    world.offer_job(offer_with_former_holder(milliseconds(100)));
+    world.advance(milliseconds(90));
+    BOOST_TEST(world.lists.empty());
+    world.advance(milliseconds(20));
+    BOOST_REQUIRE_EQUAL(world.lists.size(), 2U);
+    BOOST_TEST(world.lists[0].wait.count() == 0);
+    world.list(0, {}, {}, 1, 5110);
+    world.list(1, {}, {}, 1, 5110);
+    BOOST_TEST(world.starts.size() == 1U);
+}
+
+// Guards against tasks that wait for a long poll of a busy worker.
+BOOST_AUTO_TEST_CASE(a_long_poll_ends_with_its_grant)
+{
+    pool_fixture world(1);
+    world.list(0);
+    world.offer_job(pool_fixture::offer("own", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(world.starts.size(), 1U);
+    world.offer_job(offer_with_former_holder(milliseconds(100)));
+    world.list(0, {{world.starts[0].task, world.starts[0].run, 0}});
+    BOOST_TEST(world.lists.back().wait.count() == 100);
+    world.advance(milliseconds(101));
+    world.list(0, {{world.starts[0].task, world.starts[0].run, 0}}, {}, 1, 5101);
+    BOOST_TEST(world.lists.back().wait.count() == 0);
+    BOOST_TEST(world.starts.size() == 1U);
+    world.list(0, {{world.starts[0].task, world.starts[0].run, 0}}, {}, 1, 5102);
+    BOOST_TEST(world.lists.back().wait == pool_fixture::options().list_wait);
+    BOOST_TEST(world.starts.size() == 2U);
+}
+
+// Guards against a start while the owner may already have assigned the job to another holder.
+BOOST_AUTO_TEST_CASE(nothing_starts_after_the_own_grant_has_ended)
+{
+    pool_fixture world(1);
+    job_offer offer = pool_fixture::offer("j", 3, milliseconds(900));
+    offer.echoed_clock = clock_reading(world.now());
+    world.list(0);
+    world.offer_job(offer);
+    BOOST_REQUIRE_EQUAL(world.starts.size(), 2U);
+    world.get().on_listing(world.now() + offer_validity + milliseconds(10),
+                           {pool_fixture::entry(0).id,
+                            1,
+                            5850,
+                            {},
+                            {{1, world.starts[0].task, world.starts[0].run, run_end::done}}});
+    world.collect_actions();
+    BOOST_TEST(world.starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_the_pool_is_handed_over)
 
 // Guards against restarting tasks that still run, and against waiting for tasks that never started.
