workers: keep tasks of adopted runs uncertain

Cause: adoption removed the task from the uncertain ones, so when the run ended, the task did not wait for the end of the former holder's grant. Change: it is removed only if the run is the pool's own, of a job that was dropped and is offered again.

--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -179,11 +179,13 @@
             if (number >= job.tasks.size() || job.tasks[number].state != task_state::waiting) {
                 continue;
             }
-            run.orphan = false;
+            // A former holder may end its run and start the task elsewhere while its grant lasts.
+            if (!std::exchange(run.orphan, false)) {
+                job.uncertain.erase(number);
+            }
             run.limit.reset();
             worker.used = worker.used.minus(run.need).plus(step_of(job, number).need);
             run.need = step_of(job, number).need;
-            job.uncertain.erase(number);
             run.estimate = step_of(job, number).estimate;
             run.expected = expected_duration(now, worker, step_of(job, number));
             job.tasks[number].state = run.stopping ? task_state::stopping : task_state::running;
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -146,6 +146,24 @@
     BOOST_TEST((world.results[0].end == job_end::completed));
 }
 
+// The former holder may have stopped the adopted run and started its task on another worker. Guards against a
+// second run of it (seed 23224 of the hostile schedules).
+BOOST_AUTO_TEST_CASE(an_adopted_run_that_ends_does_not_restart_its_task_at_once)
+{
+    pool_fixture world(2);
+    const listed_run adopted{{job_id("j"), 0, 0}, run_number(5), 0};
+    world.offer_job(offer_with_former_holder(milliseconds(100)));
+    world.list(0, {adopted});
+    world.list(0, {}, {{1, adopted.task, adopted.run, run_end::stopped}});
+    world.list(0);
+    world.list(1);
+    BOOST_TEST(world.starts.empty());
+    world.advance(milliseconds(110));
+    world.list(0, {}, {}, 1, 5110);
+    world.list(1, {}, {}, 1, 5110);
+    BOOST_TEST(world.starts.size() == 1U);
+}
+
 // Guards against tasks that wait for the next regular list of an idle worker.
 BOOST_AUTO_TEST_CASE(all_workers_are_listed_as_soon_as_its_grant_has_ended)
 {
