workers: name the tasks that run under another offer in late answers

An offer that was too old was answered with "nothing was started" also when the pool has the job under the offer of another owner. The owner of the late offer could offer the job to another pool at once, beside the runs here. The answer now names the tasks that may run.

Before: the_answer_names_the_tasks_that_run_under_another_offer fails; after: it passes.

--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -60,14 +60,18 @@
     if (!granted || (known == nullptr && *granted < now + min_new_grant)) {
         record(decision::offer_expired, offer.job, {}, owner.value(), clock_reading(now) - offer.echoed_clock,
                offer_validity);
-        notify_owner(owner, job_result{offer.job,
-                                       m_options.own_address,
-                                       job_end::not_held,
-                                       {},
-                                       {},
-                                       false,
-                                       offer.uncertain_tasks,
-                                       offer.number});
+        job_result answer;
+        if (known != nullptr) {
+            answer = not_held_answer(*known);
+        } else {
+            answer.job = offer.job;
+            answer.holder = m_options.own_address;
+            answer.end = job_end::not_held;
+            answer.may_have_run = false;
+            answer.uncertain_tasks = offer.uncertain_tasks;
+        }
+        answer.number = offer.number;
+        notify_owner(owner, std::move(answer));
         return;
     }
     if (known != nullptr) {
@@ -119,8 +123,8 @@
         return;
     }
     if (job.owner != owner) {
-        // A caller sends a job again long after an offer has expired, so a delayed offer of the former owner
-        // is of the earlier request. Offer numbers of two owners cannot be compared.
+        // Offer numbers of two owners cannot be compared. A delayed offer looks younger by its delay, at most
+        // offer_validity; a caller usually waits for longer before it sends a job again.
         const bool newer = now - offer.age > job.arrived;
         job_result superseded = make_result(job, job_end::gave_up);
         superseded.reason = refusal_reason::cancelled;
--- a/tests/workers/offers_test.cpp
+++ b/tests/workers/offers_test.cpp
@@ -150,6 +150,23 @@
     BOOST_TEST(!f.results[0].may_have_run);
 }
 
+// Guards against another owner that takes the job for one of which nothing runs, and offers it to another
+// pool.
+BOOST_AUTO_TEST_CASE(the_answer_names_the_tasks_that_run_under_another_offer)
+{
+    pool_fixture f;
+    f.list(0);
+    f.offer_job(numbered(1));
+    job_offer late = numbered(9);
+    late.owner = endpoint("other:1");
+    late.echoed_clock = clock_reading(f.now()) - offer_validity - milliseconds(1);
+    f.offer_job(late);
+    BOOST_REQUIRE_EQUAL(f.results.size(), 1U);
+    BOOST_TEST(f.results[0].may_have_run);
+    BOOST_TEST((f.results[0].uncertain_tasks == std::vector<std::uint32_t>{0}));
+    BOOST_TEST((f.results[0].number == offer_number(9)));
+}
+
 // Guards against tasks that are stopped right after their start because the grant expires before the next
 // status of the owner can arrive.
 BOOST_AUTO_TEST_CASE(it_is_not_started_with_little_time_left)
