--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -353,6 +353,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_worker_restarts_after_its_leases_have_expired)
+
+// Guards against finished tasks that are started again: the new incarnation numbers its ends from 1, and the
+// pool ignored them as acknowledged.
+BOOST_AUTO_TEST_CASE(the_ends_of_the_new_incarnation_count)
+{
+    pool_fixture f;
+    f.list(0);
+    f.offer_job(pool_fixture::offer("j", 1));
+    f.list(0, {}, {{5, f.starts.at(0).task, f.starts.at(0).run, run_end::done}});
+    BOOST_TEST(f.results.size() == 1U);
+    f.offer_job(pool_fixture::offer("k", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 2U);
+    for (int i = 0; i < 3; ++i) {
+        f.get().on_list_failure(f.now(), pool_fixture::entry(0).id, list_failure::unanswered);
+    }
+    f.advance(milliseconds(1300));
+    f.list(0, {}, {}, 2, 100);
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 3U);
+    f.list(0, {}, {{1, f.starts[2].task, f.starts[2].run, run_end::done}}, 2, 200);
+    BOOST_TEST(f.results.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_commands_are_reordered)
 
 // A list command sent after a start may reach the worker first, and its answer may be processed after the
