--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -21,6 +21,8 @@
 // its share of a processor is a quota, up to a tenth of a second later.
 constexpr milliseconds greatest_read_lag{8};
 constexpr milliseconds greatest_quota_lag{90};
+// Longer than a tick.
+constexpr milliseconds front_lag{30};
 constexpr double share_of_quota_lags = 0.2;
 
 routing::route desk_route()
@@ -102,9 +104,18 @@
     }
 }
 
-void virtual_callers::submit_later(const std::string& id, milliseconds delay)
+void virtual_callers::submit_later(const std::string& id, milliseconds delay, std::optional<std::size_t> to)
 {
-    m_time.after(delay, [this, id] { submit(id); });
+    m_time.after(delay, [this, id, to] { submit(id, to); });
+}
+
+void virtual_callers::leave(job& item, milliseconds read_lag)
+{
+    const attempt left = *std::exchange(item.open, std::nullopt);
+    m_left.emplace(left.caller, left);
+    m_closed.insert(left.caller);
+    m_events.leave(left.instance, left.caller, read_lag);
+    item.only_refused = false;
 }
 
 std::vector<std::string> virtual_callers::waiting() const
@@ -140,8 +151,10 @@
     item.only_refused = false;
     const milliseconds read_lag = m_time.between(
         milliseconds(1), m_time.chance(share_of_quota_lags) ? greatest_quota_lag : greatest_read_lag);
-    m_time.after(m_time.between(milliseconds(1), longest_notice),
-                 [this, left, read_lag] { m_events.leave(left.instance, left.caller, read_lag); });
+    m_time.after(m_time.between(milliseconds(1), longest_notice), [this, left, read_lag] {
+        m_closed.insert(left.caller);
+        m_events.leave(left.instance, left.caller, read_lag);
+    });
     if (item.attempts < most_attempts) {
         ++m_resent;
         submit_later(id, resend_delay + m_time.between({}, greatest_resend_spread));
@@ -171,12 +184,21 @@
     }
     job& item = m_jobs.at(found.at(m_time.below(found.size())));
     m_time.note(item.content.job.value(), "the caller leaves");
-    m_events.leave(item.open->instance, item.open->caller, {});
-    item.open.reset();
-    item.only_refused = false;
+    leave(item, {});
     item.ended = true;
 }
 
+void virtual_callers::break_connections(std::size_t at, std::size_t resend_to)
+{
+    for (auto& [id, item] : m_jobs) {
+        if (item.open && item.open->instance == at) {
+            m_time.note(id, "the caller's connection breaks");
+            leave(item, front_lag);
+            submit_later(id, resend_delay, resend_to);
+        }
+    }
+}
+
 void virtual_callers::on_answer(std::size_t at, const routing::answer_caller& value)
 {
     using routing::answer_kind;
@@ -189,9 +211,6 @@
         check_time(id, at, left->second);
         return;
     }
-    if (item.ended && !item.open) {
-        return;  // the caller has left; its instance has not heard of it yet
-    }
     if (!item.open || item.open->caller != value.caller || item.open->instance != at) {
         m_events.broken_rule(id, "an answer to a request that has one");
         return;
--- a/tests/instance/fleet_instance.cpp
+++ b/tests/instance/fleet_instance.cpp
@@ -97,17 +97,17 @@
     m_network_lag = m_world.time.between({}, greatest_network_lag);
 }
 
-void virtual_instance::push_frame(event item)
+void virtual_instance::push_after_pause(milliseconds lag, event item)
 {
-    const time_point from = m_paused_until + m_network_lag;
+    const time_point from = m_paused_until + lag;
     if (m_world.time.now() >= from) {
         push(std::move(item));
         return;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(from - m_world.time.now());
-    m_world.time.after(left, [self = weak_from_this(), item = std::move(item)]() mutable {
+    m_world.time.after(left, [self = weak_from_this(), lag, item = std::move(item)]() mutable {
         if (const auto alive = self.lock()) {
-            alive->push_frame(std::move(item));
+            alive->push_after_pause(lag, std::move(item));
         }
     });
 }
--- a/tests/instance/fleet_instance.h
+++ b/tests/instance/fleet_instance.h
@@ -26,6 +26,7 @@
     virtual_store& store;
     const std::vector<endpoint>& addresses;  ///< of all instances, by number
     std::function<void(std::size_t at, const routing::answer_caller&)> answer;
+    std::function<bool(routing::caller_id)> is_connected;
 };
 
 /// One life of an instance: the daemon's decisions with its own peer table, router and pools, without I/O.
@@ -51,7 +52,9 @@
     using event = std::function<void(time_point now)>;
 
     void push(event item) { m_inbox.push_back(std::move(item)); }
-    void push_frame(event item);
+    void push_frame(event item) { push_after_pause(m_network_lag, std::move(item)); }
+    /// Handles the event at once, or this long after the end of a pause.
+    void push_after_pause(milliseconds lag, event item);
     void check_for_pause(time_point now);
     void run_timers(time_point now);
     void pump(time_point now);
@@ -77,6 +80,7 @@
     void handle(time_point now, workers::job_progress& message);
     void handle(time_point now, workers::job_result& message);
     void send(time_point now, const endpoint& to, fleet_message message);
+    bool has_caller(time_point now, const routing::job_id& job);
     void execute(time_point now, routing::routing_action& action);
 
     void send_order(pending_order order) override;
--- a/tests/instance/fleet_messages.cpp
+++ b/tests/instance/fleet_messages.cpp
@@ -129,10 +129,24 @@
     m_world.links.send(m_identity.index, static_cast<std::size_t>(index), std::move(message));
 }
 
+// As the daemon does before each offer.
+bool virtual_instance::has_caller(time_point now, const routing::job_id& job)
+{
+    const auto caller = m_router.caller_of(job);
+    if (caller && !m_world.is_connected(*caller)) {
+        m_router.on_caller_left(now, *caller);
+        return false;
+    }
+    return caller.has_value();
+}
+
 void virtual_instance::execute(time_point now, routing::routing_action& action)
 {
     if (auto* out = std::get_if<routing::send_to_holder>(&action)) {
-        if (std::holds_alternative<workers::job_offer>(out->message)) {
+        if (const auto* offer = std::get_if<workers::job_offer>(&out->message)) {
+            if (!has_caller(now, offer->job)) {
+                return;
+            }
             relate(now, out->holder);
         }
         std::visit([&](auto& message) { send(now, out->holder, std::move(message)); }, out->message);
