--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -108,6 +108,7 @@
         milliseconds expected{};
         milliseconds estimate{};
         time_point sent;
+        std::int64_t lease_until_ms = 0;  ///< of the start command, on the worker's clock
         time_point stop_sent;
         std::optional<time_point> stop_acknowledged;
         /// Number of the first list that must contain the run; empty until the worker has confirmed it.
@@ -115,7 +116,7 @@
         /// Set for runs without a job: the lease of the worker is not renewed beyond it.
         std::optional<time_point> limit;
         bool stopping = false;
-        bool orphan = false;  ///< of a former holder, and not claimed by an owner yet
+        bool orphan = false;  ///< unknown to this pool when it was listed, and not claimed by an owner yet
         bool overdue = false;
     };
 
@@ -135,8 +136,12 @@
         time_point last_answer_at;      ///< last answer to a command other than a list
         bool list_pending = false;
         bool ends_pending = false;    ///< there are ends to acknowledge
-        time_point leases_expire_at;  ///< all runs have ended by then unless the lease is renewed
+        time_point leases_expire_at;  ///< confirmed runs have ended by then unless the lease is renewed
+        /// The same for runs that the worker has not confirmed: it may have restarted with a reset clock
+        /// before it received the command, and then has granted the maximum lease.
+        time_point long_leases_expire_at;
         time_point list_sent;
+        time_point answered_list_sent;  ///< sending time of the last list that was answered
         time_point next_list;
         time_point no_start_until;
         std::optional<std::int64_t> clock_offset_ms;  ///< the worker's clock minus the local steady clock
@@ -185,7 +190,17 @@
     std::optional<worker_id> select_worker(time_point now, const job_record& job, std::uint32_t number);
     void start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker);
     bool is_usable(time_point now, const worker_record& worker) const;
-    bool all_workers_listed() const;
+    /// True when every worker has answered a list that was sent at or after this time.
+    bool all_workers_listed(time_point since) const;
+    /// Time after which a former holder of the job starts nothing more.
+    static time_point last_former_start(const job_record& job);
+    /// True if tasks wait for the end of runs that a former holder may have started.
+    static bool awaits_former_runs(time_point now, const job_record& job);
+    /// Time after which lists must be sent before tasks that await former runs can start; the latest of those
+    /// that have passed.
+    time_point lists_needed_since(time_point now) const;
+    /// Time that a worker may delay its answer to a list sent now.
+    milliseconds list_wait(time_point now, const worker_record& worker) const;
     milliseconds expected_duration(time_point now, const worker_record& worker, const job_step& step) const;
     double mean_ratio(time_point now) const;
     queue_rank rank(time_point now, const job_record& job, double ratio) const;
@@ -196,6 +211,13 @@
     // Runs
     /// The worker has confirmed the run, so lists sent from now on contain it until it ends.
     static void confirm_run(const worker_record& worker, run_record& run);
+    /// Records a listed run that this pool does not know: of a former holder, or a late start that was
+    /// abandoned.
+    void add_unknown_run(time_point now, worker_record& worker, const listed_run& listed);
+    /// Stops those of the unknown runs that were not adopted.
+    /// @param keep_unclaimed keep runs of unknown jobs, which their owners may still offer
+    void stop_unknown_runs(time_point now, worker_record& worker, const std::vector<task_ref>& unknown,
+                           bool keep_unclaimed);
     void end_run(time_point now, worker_record& worker, const task_ref& ref, run_end end);
     void requeue(job_record& job, std::uint32_t number);
     void record_failure(time_point now, worker_record& worker, const job_id& failed);
@@ -208,11 +230,12 @@
     /// Time by which all runs on a worker must have ended unless an owner renews its grant.
     time_point lease_limit(const worker_record& worker) const;
     void expire_all_runs(time_point now, worker_record& worker, std::string_view cause);
+    /// Ends the runs whose lease has expired.
+    void expire_runs(time_point now, worker_record& worker);
     void update_clock_offset(time_point now, worker_record& worker, std::int64_t clock_ms);
     void on_worker_restart(time_point now, worker_record& worker);
-    /// Time after which a run has ended whose lease is renewed by a command sent now, unless it is renewed
-    /// again.
-    milliseconds lease_expiry_delay(time_point now, const worker_record& worker) const;
+    /// Notes that a command sent now may renew the lease of the worker.
+    void extend_leases(time_point now, worker_record& worker) const;
     /// Lower bound of the worker's clock at a time, in milliseconds; the clock may be slow.
     std::int64_t worker_time(time_point at, const worker_record& worker) const;
     void remove_departed_workers();
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -38,6 +38,9 @@
 constexpr milliseconds max_command_delay{15'000};
 // A clock that is behind by more than drift and the delay of an answer explain was reset by a restart.
 constexpr milliseconds clock_tolerance{1000};
+// Commands carry a lower bound of the worker's clock at their sending. A clock that is behind it by more than
+// this, which allows for rounding and drift, was reset by a restart.
+constexpr milliseconds max_clock_lag{40};
 // Run numbers derive from the holder's clock, so those of a former holder may be higher. Added to the run
 // number when a worker rejects a start as superseded.
 constexpr std::uint64_t run_number_step = 10'000'000;
@@ -78,7 +81,8 @@
                 send_list(now, worker);
             }
         } else if (added) {
-            worker.leases_expire_at = now + m_options.max_lease + m_options.lease_margin;
+            worker.long_leases_expire_at = now + m_options.max_lease + m_options.lease_margin;
+            worker.leases_expire_at = worker.long_leases_expire_at;
             send_list(now, worker);
         }
     }
@@ -113,14 +117,16 @@
 {
     worker.restart_detected_at = now;
     worker.long_leases_until = now + max_command_delay;
-    worker.leases_expire_at = std::max(worker.leases_expire_at, now + lease_expiry_delay(now, worker));
+    extend_leases(now, worker);
 }
 
-milliseconds pool::lease_expiry_delay(time_point now, const worker_record& worker) const
+void pool::extend_leases(time_point now, worker_record& worker) const
 {
-    // An idle worker may have restarted unnoticed and reset its clock.
-    const bool long_lease = now < worker.long_leases_until || now > worker.clock_updated_at + clock_tolerance;
-    return (long_lease ? m_options.max_lease : m_options.lease) + m_options.lease_margin;
+    const time_point long_end = now + m_options.max_lease + m_options.lease_margin;
+    const time_point end =
+        now < worker.long_leases_until ? long_end : now + m_options.lease + m_options.lease_margin;
+    worker.leases_expire_at = std::max(worker.leases_expire_at, end);
+    worker.long_leases_expire_at = std::max(worker.long_leases_expire_at, long_end);
 }
 
 void pool::send_list(time_point now, worker_record& worker)
@@ -131,8 +137,8 @@
     if (worker.listed && !worker.unreachable && !worker.runs.empty() && worker.clock_offset_ms &&
         until > now) {
         command.lease_until_ms = worker_time(until, worker);
-        command.wait = m_options.list_wait;
-        worker.leases_expire_at = std::max(worker.leases_expire_at, now + lease_expiry_delay(now, worker));
+        command.wait = list_wait(now, worker);
+        extend_leases(now, worker);
     }
     ++worker.lists_sent;
     worker.list_pending = true;
@@ -171,6 +177,9 @@
     }
     run_record& run = found->second;
     if (reply.clock_ms && worker.clock_offset_ms && run.sent > worker.restart_detected_at) {
+        if (run.lease_until_ms - *reply.clock_ms > (m_options.lease + max_clock_lag).count()) {
+            on_worker_restart(now, worker);
+        }
         update_clock_offset(now, worker, *reply.clock_ms);
     }
     if (reply.outcome == start_outcome::started) {
@@ -234,12 +243,13 @@
     const bool list_state_lost =
         worker.unreachable || !worker.listed || answer.incarnation != worker.incarnation;
     worker.list_pending = false;
+    worker.answered_list_sent = worker.list_sent;
     worker.unanswered_lists = 0;
     if (worker.unreachable) {
         worker.unreachable = false;
         record(decision::worker_back, {}, answer.worker, {}, elapsed(now, worker.list_sent));
     }
-    if (worker.listed && answer.incarnation != worker.incarnation) {
+    if (worker.incarnation != 0 && answer.incarnation != worker.incarnation) {
         // The new incarnation numbers its ends from the beginning. A start in transit may run in it, so runs
         // are still compared with the list as usual.
         record(decision::worker_lapsed, {}, answer.worker, "restarted",
@@ -255,30 +265,19 @@
     }
     std::set<task_ref> present;
     std::set<job_id> adopting;
+    std::vector<task_ref> unknown;
     for (const listed_run& listed : answer.running) {
         present.insert(listed.task);
         const auto found = worker.runs.find(listed.task);
         if (found != worker.runs.end() && !(listed.run < found->second.number)) {
             confirm_run(worker, found->second);
-        } else if (found == worker.runs.end() && !worker.listed) {
-            run_record orphan;
-            orphan.task = listed.task;
-            orphan.number = listed.run;
-            orphan.need = {typical_cpu(), 0, 0};
-            orphan.sent = now;
-            confirm_run(worker, orphan);
-            orphan.orphan = true;
-            orphan.limit = now;
-            worker.used = worker.used.plus(orphan.need);
-            worker.runs.emplace(listed.task, orphan);
-            adopting.insert(listed.task.job);
         } else if (found == worker.runs.end()) {
-            // An abandoned start that was executed late.
-            m_actions.emplace_back(stop_command{
-                {worker.entry.id, worker.entry.address}, listed.task, listed.run, m_options.token});
+            add_unknown_run(now, worker, listed);
+            unknown.push_back(listed.task);
+            adopting.insert(listed.task.job);
         }
     }
-    worker.listed = true;
+    const bool first_list = !std::exchange(worker.listed, true);
     if (list_state_lost) {
         reject_abandoned_starts(worker);
     }
@@ -302,6 +301,7 @@
             finish_if_done(now, id);
         }
     }
+    stop_unknown_runs(now, worker, unknown, first_list);
     std::vector<task_ref> missing;
     for (const auto& [ref, run] : worker.runs) {
         if (run.first_list_with_run && !present.contains(ref) &&
@@ -358,6 +358,25 @@
     }
 }
 
+void pool::expire_runs(time_point now, worker_record& worker)
+{
+    std::vector<task_ref> expired;
+    for (const auto& [ref, run] : worker.runs) {
+        if (now >= (run.first_list_with_run ? worker.leases_expire_at : worker.long_leases_expire_at)) {
+            expired.push_back(ref);
+        }
+    }
+    if (expired.empty()) {
+        return;
+    }
+    worker.listed = false;
+    record(decision::worker_lapsed, {}, worker.entry.id, "lease lapsed",
+           milliseconds(static_cast<std::int64_t>(expired.size())));
+    for (const task_ref& ref : expired) {
+        end_run(now, worker, ref, run_end::lapsed);
+    }
+}
+
 void pool::requeue(job_record& job, std::uint32_t number)
 {
     job.tasks[number].state = task_state::waiting;
@@ -372,6 +391,36 @@
     }
 }
 
+void pool::add_unknown_run(time_point now, worker_record& worker, const listed_run& listed)
+{
+    run_record orphan;
+    orphan.task = listed.task;
+    orphan.number = listed.run;
+    orphan.need = {typical_cpu(), 0, 0};
+    orphan.sent = now;
+    confirm_run(worker, orphan);
+    orphan.orphan = true;
+    orphan.limit = now;
+    worker.used = worker.used.plus(orphan.need);
+    worker.runs.emplace(listed.task, orphan);
+    // Its lease was granted by a command that this pool did not send, or sent long ago.
+    worker.leases_expire_at =
+        std::max(worker.leases_expire_at, now + m_options.max_lease + m_options.lease_margin);
+}
+
+void pool::stop_unknown_runs(time_point now, worker_record& worker, const std::vector<task_ref>& unknown,
+                             bool keep_unclaimed)
+{
+    for (const task_ref& ref : unknown) {
+        const auto found = worker.runs.find(ref);
+        if (found != worker.runs.end() && found->second.orphan &&
+            (!keep_unclaimed || find_job(ref.job) != nullptr)) {
+            record(decision::orphan_stopped, ref.job, worker.entry.id, {});
+            send_stop(now, worker, found->second);
+        }
+    }
+}
+
 void pool::end_run(time_point now, worker_record& worker, const task_ref& ref, run_end end)
 {
     const auto found = worker.runs.find(ref);
@@ -464,6 +513,10 @@
 void pool::reject_abandoned_starts(const worker_record& worker)
 {
     for (const auto& [ref, start] : worker.abandoned) {
+        const auto found = worker.runs.find(ref);
+        if (found != worker.runs.end() && found->second.number == start.number) {
+            continue;  // It has started after all, and is adopted or stopped as an unknown run.
+        }
         m_actions.emplace_back(
             stop_command{{worker.entry.id, worker.entry.address}, ref, start.number, m_options.token});
     }
@@ -501,18 +554,17 @@
         return;
     }
     expire_grants(now);
+    const time_point listed_since = lists_needed_since(now);
     for (auto& [id, worker] : m_workers) {
         check_runs(now, worker);
         std::erase_if(worker.abandoned,
                       [now](const auto& entry) { return now > entry.second.at + max_command_delay; });
-        if ((worker.unreachable || !worker.listed) && !worker.runs.empty() &&
-            now >= worker.leases_expire_at) {
-            expire_all_runs(now, worker, "lease lapsed");
-            worker.listed = false;
+        if (worker.unreachable || !worker.listed) {
+            expire_runs(now, worker);
         }
         const bool clock_known = worker.clock_offset_ms && now < worker.clock_updated_at + max_clock_age;
         const bool idle = worker.listed && worker.runs.empty() && !worker.unreachable &&
-                          !worker.ends_pending && clock_known;
+                          !worker.ends_pending && clock_known && worker.answered_list_sent >= listed_since;
         if (!worker.list_pending && !idle && now >= worker.next_list) {
             send_list(now, worker);
         }
--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -20,9 +20,9 @@
 // An instance that wakes reads the request first, and some turns later that its connection is closed; where
 // its share of a processor is a quota, up to a tenth of a second later.
 constexpr milliseconds greatest_read_lag{8};
-constexpr milliseconds greatest_quota_lag{90};
-// Longer than a tick.
+// The same in break_connections(); longer than a tick.
 constexpr milliseconds front_lag{30};
+constexpr milliseconds greatest_quota_lag{90};
 constexpr double share_of_quota_lags = 0.2;
 
 routing::route desk_route()
@@ -109,13 +109,18 @@
     m_time.after(delay, [this, id, to] { submit(id, to); });
 }
 
-void virtual_callers::leave(job& item, milliseconds read_lag)
+void virtual_callers::break_connections(std::size_t at, std::size_t resend_to)
 {
-    const attempt left = *std::exchange(item.open, std::nullopt);
-    m_left.emplace(left.caller, left);
-    m_closed.insert(left.caller);
-    m_events.leave(left.instance, left.caller, read_lag);
-    item.only_refused = false;
+    for (auto& [id, item] : m_jobs) {
+        if (item.open && item.open->instance == at) {
+            m_time.note(id, "the caller's connection breaks");
+            const attempt left = *std::exchange(item.open, std::nullopt);
+            m_left.emplace(left.caller, left);
+            item.only_refused = false;
+            m_events.leave(at, left.caller, front_lag);
+            submit_later(id, resend_delay, resend_to);
+        }
+    }
 }
 
 std::vector<std::string> virtual_callers::waiting() const
@@ -151,10 +156,8 @@
     item.only_refused = false;
     const milliseconds read_lag = m_time.between(
         milliseconds(1), m_time.chance(share_of_quota_lags) ? greatest_quota_lag : greatest_read_lag);
-    m_time.after(m_time.between(milliseconds(1), longest_notice), [this, left, read_lag] {
-        m_closed.insert(left.caller);
-        m_events.leave(left.instance, left.caller, read_lag);
-    });
+    m_time.after(m_time.between(milliseconds(1), longest_notice),
+                 [this, left, read_lag] { m_events.leave(left.instance, left.caller, read_lag); });
     if (item.attempts < most_attempts) {
         ++m_resent;
         submit_later(id, resend_delay + m_time.between({}, greatest_resend_spread));
@@ -184,21 +187,13 @@
     }
     job& item = m_jobs.at(found.at(m_time.below(found.size())));
     m_time.note(item.content.job.value(), "the caller leaves");
-    leave(item, {});
+    const attempt left = *std::exchange(item.open, std::nullopt);
+    m_left.emplace(left.caller, left);
+    m_events.leave(left.instance, left.caller, {});
+    item.only_refused = false;
     item.ended = true;
 }
 
-void virtual_callers::break_connections(std::size_t at, std::size_t resend_to)
-{
-    for (auto& [id, item] : m_jobs) {
-        if (item.open && item.open->instance == at) {
-            m_time.note(id, "the caller's connection breaks");
-            leave(item, front_lag);
-            submit_later(id, resend_delay, resend_to);
-        }
-    }
-}
-
 void virtual_callers::on_answer(std::size_t at, const routing::answer_caller& value)
 {
     using routing::answer_kind;
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -35,22 +35,20 @@
     void send_job(std::size_t instance, std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     /// One caller of those that wait closes its connection.
     void give_up_one();
+    /// The connections of the callers that wait at an instance break; they send their jobs again through
+    /// another one.
+    void break_connections(std::size_t at, std::size_t resend_to);
     /// The connection of one caller breaks at its end while the instance works on; it sends the job again
     /// through any instance. @returns the instance that it has left; nothing if no caller waits
     std::optional<std::size_t> break_one();
     /// From now on callers leave when the time limit of their request is over, and send the job again.
     void keep_own_time_limits() { m_own_time_limits = true; }
-    /// The connections of the callers that wait at an instance break; they send their jobs again through
-    /// another one.
-    void break_connections(std::size_t at, std::size_t resend_to);
     void on_answer(std::size_t at, const routing::answer_caller& value);
     void on_killed(std::size_t instance);
     void on_started(const workers::task_ref& task, const std::string& worker);
     bool all_ended() const;
     /// Breaks a rule for each job without an answer.
     void check_answered();
-    /// Whether the kernel of the caller's instance takes its connection for open.
-    bool is_connected(routing::caller_id caller) const { return !m_closed.contains(caller); }
     std::size_t answers(routing::answer_kind kind) const
     {
         return m_answers.at(static_cast<std::size_t>(kind));
@@ -80,8 +78,6 @@
     std::string add(std::uint32_t tasks, milliseconds work, milliseconds time_limit);
     void submit(const std::string& id, std::optional<std::size_t> to = {});
     void submit_later(const std::string& id, milliseconds delay, std::optional<std::size_t> to = {});
-    /// Closes the connection of the open attempt.
-    void leave(job& item, milliseconds read_lag);
     void check_refusal(const std::string& id);
     void check_time(const std::string& id, std::size_t at, const attempt& ended);
     void leave_and_send_again(const std::string& id);
@@ -93,7 +89,6 @@
     std::map<std::string, job> m_jobs;
     /// Attempts that their callers have left and whose instance may still answer.
     std::map<routing::caller_id, attempt> m_left;
-    std::set<routing::caller_id> m_closed;  ///< connections whose end has reached the instance's machine
     std::uint64_t m_last_caller = 0;
     std::size_t m_resent = 0;
     bool m_own_time_limits = false;
--- a/tests/instance/fleet_instance.h
+++ b/tests/instance/fleet_instance.h
@@ -26,7 +26,6 @@
     virtual_store& store;
     const std::vector<endpoint>& addresses;  ///< of all instances, by number
     std::function<void(std::size_t at, const routing::answer_caller&)> answer;
-    std::function<bool(routing::caller_id)> is_connected;
 };
 
 /// One life of an instance: the daemon's decisions with its own peer table, router and pools, without I/O.
@@ -52,9 +51,7 @@
     using event = std::function<void(time_point now)>;
 
     void push(event item) { m_inbox.push_back(std::move(item)); }
-    void push_frame(event item) { push_after_pause(m_network_lag, std::move(item)); }
-    /// Handles the event at once, or this long after the end of a pause.
-    void push_after_pause(milliseconds lag, event item);
+    void push_frame(event item);
     void check_for_pause(time_point now);
     void run_timers(time_point now);
     void pump(time_point now);
@@ -107,6 +104,7 @@
     time_point m_worker_lapsed;
     std::vector<event> m_inbox;
     time_point m_paused_until;
+    std::set<routing::caller_id> m_closed_connections;  ///< as the kernel knows
     milliseconds m_paused_time{};
     milliseconds m_network_lag{};  ///< of the network's thread behind the core's after a pause
     time_point m_last_turn;
--- a/tests/instance/fleet_messages.cpp
+++ b/tests/instance/fleet_messages.cpp
@@ -129,11 +129,10 @@
     m_world.links.send(m_identity.index, static_cast<std::size_t>(index), std::move(message));
 }
 
-// As the daemon does before each offer.
 bool virtual_instance::has_caller(time_point now, const routing::job_id& job)
 {
     const auto caller = m_router.caller_of(job);
-    if (caller && !m_world.is_connected(*caller)) {
+    if (caller && m_closed_connections.contains(*caller)) {
         m_router.on_caller_left(now, *caller);
         return false;
     }
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -83,8 +83,7 @@
         m_identities.at(index), ++m_lives.at(index), knows_all_workers,
         instance_surroundings{
             m_time, m_links, m_workers, m_store, m_addresses,
-            [this](std::size_t at, const routing::answer_caller& value) { m_callers.on_answer(at, value); },
-            [this](routing::caller_id caller) { return m_callers.is_connected(caller); }});
+            [this](std::size_t at, const routing::answer_caller& value) { m_callers.on_answer(at, value); }});
 }
 
 virtual_links::receivers virtual_fleet::link_events()
