workers: detect restarts of workers whose leases have expired

Callers could see a task run again after it had finished: ends are numbered anew in each incarnation of a worker, and a pool that did not notice the restart skipped the ends up to the last number of the previous incarnation and acknowledged them.

Cause: a list with another incarnation counted as a restart only while the worker was listed. When its leases expire it no longer is, so a worker that was unreachable for long and restarted kept the acknowledged number, and its late commands did not count as holding the maximum lease. Change: the incarnations are compared whenever one is known.

Found by reading; no schedule has shown it. Before: its_ends_count_from_the_beginning_also_after_its_leases_expired fails with "check f.lists.back().acknowledged == 1U has failed [50 != 1]".

--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -249,7 +249,7 @@
         worker.unreachable = false;
         record(decision::worker_back, {}, answer.worker, {}, elapsed(now, worker.list_sent));
     }
-    if (worker.listed && answer.incarnation != worker.incarnation) {
+    if (worker.incarnation != 0 && answer.incarnation != worker.incarnation) {
         // The new incarnation numbers its ends from the beginning. A start in transit may run in it, so runs
         // are still compared with the list as usual.
         record(decision::worker_lapsed, {}, answer.worker, "restarted",
--- a/tests/workers/lease_test.cpp
+++ b/tests/workers/lease_test.cpp
@@ -142,6 +142,22 @@
 
 BOOST_AUTO_TEST_SUITE(when_a_worker_has_restarted)
 
+// Ends are numbered anew in each incarnation. Guards against a finished run that is overlooked because its
+// end has a number that was acknowledged to the previous incarnation, whose leases have expired meanwhile.
+BOOST_AUTO_TEST_CASE(its_ends_count_from_the_beginning_also_after_its_leases_expired)
+{
+    pool_fixture f;
+    f.list(0, {}, {{50, {job_id("gone"), 0, 0}, run_number(1), run_end::stopped}});
+    f.offer_job(pool_fixture::offer("j", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    make_unreachable(f);
+    f.advance(milliseconds(1200));
+    f.list(0, {}, {{1, f.starts[0].task, f.starts[0].run, run_end::done}}, 2, 300);
+    BOOST_TEST(f.lists.back().acknowledged == 1U);
+    BOOST_REQUIRE_EQUAL(f.results.size(), 1U);
+    BOOST_TEST((f.results[0].end == job_end::completed));
+}
+
 // Guards against commands that expire far ahead on a reset clock: a late one would start a second run.
 BOOST_AUTO_TEST_CASE(nothing_starts_before_its_clock_is_known)
 {
