--- a/tests/instance/fleet_pauses_test.cpp
+++ b/tests/instance/fleet_pauses_test.cpp
@@ -17,7 +17,7 @@
 /// the holder of the other data centre's pool.
 std::string wake_up_after(std::uint64_t seed, milliseconds pause)
 {
-    virtual_fleet fleet(seed, 2);
+    virtual_fleet fleet(seed, fleet_shape{});
     fleet.advance(warm_up);
     const std::size_t first = 1 - fleet.holder(0);
     const std::size_t second = fleet.holder(1);
