dispatch: build with -O3

The plain -DCMAKE_BUILD_TYPE=Release build failed with g++ 12: the move of a whole action, whose alternatives hold vectors and strings, was reported as the use of uninitialized members (-Werror=maybe-uninitialized). The engine now constructs its actions in place. expected_finish.cpp and job_engine.cpp compile with -O3 and all warnings; expected_finish.cpp did not before.

--- a/source/dispatch/job_engine.h
+++ b/source/dispatch/job_engine.h
@@ -59,7 +59,13 @@
     void finish_failed_job(job& parent_job, time_point now);
     /// Emits an action that counts a retry or a wasted message.
     void count(retry_reason reason, const service_id& service);
-    void emit(action next) { m_actions.push_back(std::move(next)); }
+    /// Constructs the action in place. g++ 12 with -O3 reports the move of a whole action as the use of
+    /// uninitialized members.
+    template <class Next>
+    void emit(Next&& next)
+    {
+        m_actions.emplace_back(std::forward<Next>(next));
+    }
     std::vector<action> take_actions();
 
     const configuration::bundle& bundle() const { return m_bundle; }
