workers: renew no leases once a worker has rejected the token

Another instance held the pool and had reached one worker; the former holder sent no stops any more but went on to renew the lease of a worker that the new holder had not reached. The daemon drops such a pool within 50 ms; the pool itself must not rely on it.

A pool whose token was rejected sends no more lists.

--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -134,6 +134,10 @@
     list_command command{
         {worker.entry.id, worker.entry.address}, std::nullopt, worker.acknowledged, {}, m_options.token};
     const time_point until = std::min(now + m_options.lease, lease_limit(worker));
+    // Another instance holds the pool; workers that it has not reached yet would renew the leases.
+    if (m_fenced) {
+        return;
+    }
     if (worker.listed && !worker.unreachable && !worker.runs.empty() && worker.clock_offset_ms &&
         until > now) {
         command.lease_until_ms = worker_time(until, worker);
--- a/tests/workers/lease_test.cpp
+++ b/tests/workers/lease_test.cpp
@@ -234,6 +234,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_one_worker_has_rejected_the_token)
+
+// Another instance holds the pool. Guards against a former holder that renews the leases of workers which the
+// new holder has not reached yet (seed 90176 of the hostile schedules).
+BOOST_AUTO_TEST_CASE(no_lease_is_renewed_on_the_others)
+{
+    pool_fixture f(2);
+    f.list(0);
+    f.list(1);
+    f.offer_job(pool_fixture::offer("j", 3, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 3U);
+    std::vector<listed_run> running;
+    for (const start_command& start : f.starts) {
+        if (start.target.worker == pool_fixture::entry(1).id) {
+            running.push_back({start.task, start.run, 0});
+        }
+    }
+    BOOST_REQUIRE(!running.empty());
+    f.get().on_list_failure(f.now(), pool_fixture::entry(0).id, list_failure::fenced);
+    f.collect_actions();
+    f.lists.clear();
+    f.list(1, running);
+    f.advance(milliseconds(200));
+    BOOST_TEST(f.get().is_fenced());
+    BOOST_TEST(f.lists.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::workers::test
