workers: end the leases of a dropped job whose grant does not expire

Leases of a dropped job end with its grant, but the grant of an owner of the former release, which sends no clock, does not end. They now end as if the grant had been renewed last when the job was dropped.

--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -434,7 +434,8 @@
         if (found == worker.runs.end()) {
             continue;
         }
-        found->second.limit = job.granted_until + run_grace_period;
+        // The grant of an owner that sends no clock does not expire.
+        found->second.limit = std::min(job.granted_until, now + offer_validity) + run_grace_period;
         if (task.state != task_state::stopping) {
             send_stop(now, worker, found->second);
         }
--- a/tests/workers/offers_test.cpp
+++ b/tests/workers/offers_test.cpp
@@ -286,6 +286,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_the_owner_sends_no_clock)
+
+// An owner of an earlier release; its grant does not expire. Guards against an unwanted run that goes on
+// while every stop is lost, because each list renews its lease (seed 93897 of the hostile schedules).
+BOOST_AUTO_TEST_CASE(the_leases_of_a_cancelled_job_end)
+{
+    pool_fixture f;
+    f.list(0);
+    f.offer_job(pool_fixture::offer("j", 1, milliseconds(900)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    const std::vector<listed_run> running{{f.starts[0].task, f.starts[0].run, 0}};
+    f.list(0, running);
+    f.get().on_cancel(f.now(), {job_id("j"), owner_address, offer_number()});
+    f.collect_actions();
+    const milliseconds longest = offer_validity + run_grace_period;
+    for (milliseconds passed{}; passed < 2 * longest; passed += milliseconds(100)) {
+        f.advance(milliseconds(100));
+        f.list(0, running);
+    }
+    BOOST_REQUIRE(!f.lists.empty());
+    BOOST_TEST(!f.lists.back().lease_until_ms.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::workers::test
