peer, routing: replace links that have gone silent without an error

Statuses are the heartbeat of a link: when none has arrived for the announced interval and 1.5 s more, the instance closes its links to the peer and connects again, once in 1.5 s. A peer that rarely sends a status is given its announced interval, so idle links need no further messages.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -206,6 +206,14 @@
             {severity::warning, telemetry::category::peer, "peer is silent", {}, {{"peer", silent.value()}}});
         m_pools.on_owner_lost(now, silent);
     }
+    for (const endpoint& silent : m_peers.silent_connections(now)) {
+        m_log.event({severity::warning,
+                     telemetry::category::peer,
+                     "no status from peer; replacing the connection",
+                     {},
+                     {{"peer", silent.value()}}});
+        m_network->reconnect(silent);
+    }
     propose_layout(now);
     const bool reachable = m_store.reachable(now) && m_store.lease().has_value();
     for (const routing::claim_pool& claim :
--- a/source/peer/engine.cpp
+++ b/source/peer/engine.cpp
@@ -87,6 +87,11 @@
     return push(learned_peers{std::move(learned)}) && left_out == 0;
 }
 
+bool network::engine::reconnect(const endpoint& to)
+{
+    return push(silent_peer{to});
+}
+
 void network::engine::wake()
 {
     if (!m_wake_posted.exchange(true)) {
@@ -140,6 +145,11 @@
     }
 }
 
+void network::engine::execute(const silent_peer& item)
+{
+    close_links(item.address, down_evidence::timed_out);
+}
+
 void network::engine::drop(const endpoint& to, drop_reason reason, std::size_t messages)
 {
     m_counters.dropped.at(static_cast<std::size_t>(reason)) += messages;
--- a/source/peer/engine.h
+++ b/source/peer/engine.h
@@ -25,9 +25,10 @@
     /// Starts the thread.
     void run();
 
-    /// The four below: any thread.
+    /// The five below: any thread.
     bool push(const endpoint& to, std::optional<incarnation> run, wire::message value);
     bool set_learned(std::vector<endpoint> learned);
+    bool reconnect(const endpoint& to);
     bool flush(milliseconds limit);
     network_counters counters() const;
 
@@ -46,7 +47,10 @@
     struct learned_peers {
         std::vector<endpoint> addresses;
     };
-    using command = std::variant<outgoing, learned_peers>;
+    struct silent_peer {
+        endpoint address;
+    };
+    using command = std::variant<outgoing, learned_peers, silent_peer>;
 
     /// An address that this instance connects to.
     struct target {
@@ -68,6 +72,8 @@
     void execute_commands();
     void execute(outgoing& item);
     void execute(const learned_peers& item);
+    void execute(const silent_peer& item);
+    void close_links(const endpoint& address, down_evidence evidence);
     void drop(const endpoint& to, drop_reason reason, std::size_t messages);
     bool is_idle();
 
--- a/source/peer/engine_links.cpp
+++ b/source/peer/engine_links.cpp
@@ -151,10 +151,19 @@
     if (found == m_peers.end() || found->second.identity.instance == identity.instance) {
         return;
     }
+    close_links(identity.instance.address, down_evidence::closed);
+}
+
+void network::engine::close_links(const endpoint& address, down_evidence evidence)
+{
+    const auto found = m_peers.find(address);
+    if (found == m_peers.end()) {
+        return;
+    }
     // close() removes the link from the table, so the loop runs over a copy.
     const auto former = found->second.links;
     for (const auto& item : former) {
-        item->close(down_evidence::closed);
+        item->close(evidence);
     }
 }
 
--- a/source/peer/network.cpp
+++ b/source/peer/network.cpp
@@ -67,6 +67,11 @@
     return m_engine->push(to.address, to.incarnation, std::move(value));
 }
 
+bool network::reconnect(const endpoint& to)
+{
+    return m_engine->reconnect(to);
+}
+
 bool network::flush(milliseconds limit)
 {
     return m_engine->flush(limit);
--- a/source/peer/peer.h
+++ b/source/peer/peer.h
@@ -126,6 +126,11 @@
     /// @returns false if the command queue is full (counted as queue_full); later failures go to on_dropped
     bool send(const instance_id& to, wire::message value);
 
+    /// Closes the links to an instance and connects to it again, for links that have gone silent without an
+    /// error. Any thread.
+    /// @returns false if the command queue is full, when nothing changes
+    bool reconnect(const endpoint& to);
+
     /// Waits until every queued message is written or dropped. Not for the network's own thread.
     /// @returns false if `limit` passed first
     bool flush(milliseconds limit);
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -13,6 +13,7 @@
     peer& entry = m_peers[status.address];
     entry.status = status;
     entry.last_status_at = now;
+    entry.silent_since = now;
     entry.reported_unreachable = false;
     entry.disconnected = false;
     m_holders_at.reset();
@@ -43,6 +44,19 @@
     return unreachable;
 }
 
+std::vector<endpoint> peer_table::silent_connections(time_point now)
+{
+    std::vector<endpoint> silent;
+    for (auto& [address, entry] : m_peers) {
+        const milliseconds interval = std::max(entry.status.next_status_within, min_status_interval);
+        if (address != m_self && now > entry.silent_since + interval + silent_connection_timeout) {
+            entry.silent_since = now;
+            silent.push_back(address);
+        }
+    }
+    return silent;
+}
+
 bool peer_table::is_live(time_point now, const endpoint& address) const
 {
     const auto found = m_peers.find(address);
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -21,6 +21,11 @@
 /// An instance that shares a job counts as unreachable after this time without a status.
 inline constexpr milliseconds job_peer_status_timeout = job_peer_status_interval + status_timeout_margin;
 static_assert(workers::offer_validity >= job_peer_status_timeout + job_peer_status_interval);
+/// Statuses arrive within this time after they are due.
+inline constexpr milliseconds status_delay{100};
+/// The connection to a peer is replaced when no status has arrived for its announced interval plus this time:
+/// a connection may lose its data without an error.
+inline constexpr milliseconds silent_connection_timeout{1500};
 /// A peer stays in the table for this time after its last status, and counts among the expected peers.
 inline constexpr milliseconds peer_retention_time{30'000};
 
@@ -30,6 +35,7 @@
     struct peer {
         workers::instance_status status;
         time_point last_status_at;
+        time_point silent_since;  ///< last status, or when the connection was last replaced
         bool reported_unreachable = false;
         bool disconnected = false;  ///< the connection was closed or refused after the last status
 
@@ -54,6 +60,9 @@
     /// without a status for peer_retention_time.
     std::vector<endpoint> newly_unreachable(time_point now);
 
+    /// Peers whose connection is to be replaced now; each is returned once in silent_connection_timeout.
+    std::vector<endpoint> silent_connections(time_point now);
+
     bool is_live(time_point now, const endpoint& address) const;
     /// Clock of a peer in its last status; 0 for an unknown peer.
     milliseconds clock(const endpoint& address) const;
--- a/tests/peer/links_test.cpp
+++ b/tests/peer/links_test.cpp
@@ -191,4 +191,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_link_has_gone_silent)
+
+// Guards against an instance that receives nothing over links that stay open, and never opens new ones (seed
+// 406 of the soak).
+BOOST_AUTO_TEST_CASE(it_is_replaced_on_request_and_messages_pass_again)
+{
+    node first(1);
+    node second(2, connecting_to({first.links().address()}));
+    BOOST_REQUIRE(first.wait_up(2));
+    BOOST_REQUIRE(second.wait_up(1));
+    const std::uint64_t links = second.links().counters().links_up;
+    BOOST_REQUIRE(first.links().reconnect(second.links().address()));
+    BOOST_REQUIRE(second.wait_down(down_evidence::closed));
+    BOOST_REQUIRE(test::eventually([&] { return second.links().counters().links_up > links; }));
+    second.links().send(first.links().address(), numbered(1));
+    BOOST_TEST(first.wait_message(1));
+    BOOST_TEST(first.links().reconnect(endpoint("127.0.0.1:1")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
