routing: judge a lost holder by statuses that were due since

With hundreds of instances most of them send a status only each second or two. An instance that was cut off lost the holders of its data centre after 0.6 s and still counted the rare senders as live, so it saw itself among at least half of the instances and took the pools. Now at least half of those whose status was due since the holder's last one must have sent it (peers_test; found by reading while the intervals were made longer).

They are computed last.

--- a/source/routing/ownership.cpp
+++ b/source/routing/ownership.cpp
@@ -67,11 +67,12 @@
     if (view.leaving || now < m_started + startup_delay) {
         return actions;
     }
+    const instances others = view.peers.live(now);
     for (const auto& [pool, entries] : view.pools) {
         if (m_held.contains(pool) || m_claiming.contains(pool)) {
             continue;
         }
-        if (!may_claim(now, view, pool)) {
+        if (!may_claim(now, view, others, pool)) {
             m_claimable_since.erase(pool);
             continue;
         }
@@ -128,16 +129,25 @@
            now < *tracked->second.changed_at + claimed_record_protection;
 }
 
-bool ownership::may_claim(time_point now, const ownership_view& view, const pool_id& pool) const
+bool ownership::is_preferred(const ownership_view& view, const instances& others, const pool_id& pool) const
+{
+    const data_centre_id pool_data_centre = data_centre_of(pool);
+    const bool own_data_centre = pool_data_centre == view.peers.data_centre();
+    const preference own =
+        preference_of(pool, view.peers.self(), view.cpu_milli, m_held.size() + m_claiming.size());
+    return std::none_of(others.begin(), others.end(), [&](const workers::instance_status* other) {
+        return (other->data_centre == pool_data_centre) == own_data_centre &&
+               own < preference_of(pool, other->address, other->cpu_milli, other->pools.size());
+    });
+}
+
+bool ownership::may_claim(time_point now, const ownership_view& view, const instances& others,
+                          const pool_id& pool) const
 {
     const data_centre_id pool_data_centre = data_centre_of(pool);
     const bool own_data_centre = pool_data_centre == view.peers.data_centre();
-    const auto others = view.peers.live(now);
     const auto record = view.records.find(pool);
     bool held_by_other = false;
-    const preference own_rank =
-        preference_of(pool, view.peers.self(), view.cpu_milli, m_held.size() + m_claiming.size());
-    preference best = own_rank;
     for (const workers::instance_status* other : others) {
         const bool holds = std::any_of(other->pools.begin(), other->pools.end(),
                                        [&pool](const workers::pool_load& load) { return load.pool == pool; });
@@ -149,11 +159,9 @@
         if (in_pool_data_centre && !own_data_centre) {
             return false;
         }
-        if (in_pool_data_centre == own_data_centre) {
-            best = std::max(best, preference_of(pool, other->address, other->cpu_milli, other->pools.size()));
-        }
     }
-    if (best != own_rank) {
+    // Computes a digest for each instance, so it comes after the conditions that most pools fail.
+    if (!is_preferred(view, others, pool)) {
         return false;
     }
     const bool recorded_elsewhere =
@@ -164,7 +172,10 @@
     }
     // The record exists while its holder renews its lease. So a network partition between data centres, in
     // which the holder still reaches the store, does not move the pool to another data centre.
-    return own_data_centre && view.peers.reaches_at_least_half(now) && !was_claimed_recently(now, pool);
+    const auto holder = view.peers.all().find(record->second.holder);
+    return own_data_centre && view.peers.reaches_at_least_half(now) && !was_claimed_recently(now, pool) &&
+           (holder == view.peers.all().end() ||
+            view.peers.has_statuses_of_half(now, holder->second.last_status_at));
 }
 
 workers::fencing_token ownership::storeless_token(const ownership_view& view, const pool_id& pool) const
--- a/source/routing/ownership.h
+++ b/source/routing/ownership.h
@@ -70,7 +70,11 @@
 private:
     /// True if the pool has no workers any more, or another instance holds it with precedence.
     bool must_release(time_point now, const ownership_view& view, const pool_id& pool) const;
-    bool may_claim(time_point now, const ownership_view& view, const pool_id& pool) const;
+    using instances = std::vector<const workers::instance_status*>;
+    bool may_claim(time_point now, const ownership_view& view, const instances& others,
+                   const pool_id& pool) const;
+    /// True if no other instance that may claim the pool is to be preferred to this one.
+    bool is_preferred(const ownership_view& view, const instances& others, const pool_id& pool) const;
     void track_records(time_point now, const ownership_view& view);
     /// True if another instance has written the pool's record so recently that it must be working.
     bool was_claimed_recently(time_point now, const pool_id& pool) const;
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -102,6 +102,20 @@
     return live_count * 2 >= others;
 }
 
+bool peer_table::has_statuses_of_half(time_point now, time_point since) const
+{
+    std::size_t due = 0;
+    std::size_t received = 0;
+    for (const auto& [address, entry] : m_peers) {
+        const milliseconds interval = std::max(entry.status.next_status_within, min_status_interval);
+        if (address != m_self && now >= since + interval + status_delay) {
+            ++due;
+            received += entry.last_status_at > since ? 1 : 0;
+        }
+    }
+    return received * 2 >= due;
+}
+
 bool peer_table::has_lowest_address(
     time_point now, const std::function<bool(const workers::instance_status&)>& condition) const
 {
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -72,6 +72,9 @@
     std::vector<const workers::instance_status*> live(time_point now) const;
     /// True if at least half of the other instances in the table are live.
     bool reaches_at_least_half(time_point now) const;
+    /// True if at least half of the instances whose status was due since a time have sent one. An instance
+    /// that was cut off then still counts those as live that rarely send a status.
+    bool has_statuses_of_half(time_point now, time_point since) const;
     /// True if no other live instance that meets a condition has a lower address than this one.
     bool has_lowest_address(time_point now,
                             const std::function<bool(const workers::instance_status&)>& condition) const;
--- a/tests/routing/peers_test.cpp
+++ b/tests/routing/peers_test.cpp
@@ -67,4 +67,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(statuses_of_half_of_the_instances)
+
+// With hundreds of instances most send a status only once in a second or two. Guards against an instance that
+// is cut off, still counts these as live, and takes the pools of the holders that it no longer receives.
+BOOST_AUTO_TEST_CASE(are_missing_at_an_instance_that_was_cut_off)
+{
+    fixture f;
+    const time_point cut = f.now;
+    for (int i = 0; i < 60; ++i) {
+        auto status = status_of("peer" + std::to_string(i), "ollur");
+        status.next_status_within = i < 10 ? milliseconds(100) : milliseconds(1900);
+        f.peers.on_status(cut - milliseconds(i % 10), status);
+    }
+    f.now = cut + milliseconds(700);
+    BOOST_TEST(!f.peers.is_live(f.now, endpoint("peer0")));
+    BOOST_TEST(f.peers.reaches_at_least_half(f.now));
+    BOOST_TEST(!f.peers.has_statuses_of_half(f.now, cut));
+}
+
+// Guards against a pool whose holder is lost and that nobody takes.
+BOOST_AUTO_TEST_CASE(are_there_when_one_holder_is_lost)
+{
+    fixture f;
+    const time_point lost = f.now;
+    f.now += milliseconds(700);
+    for (int i = 0; i < 10; ++i) {
+        auto status = status_of("peer" + std::to_string(i), "ollur");
+        status.next_status_within = milliseconds(100);
+        f.peers.on_status(i == 0 ? lost : f.now - milliseconds(50), status);
+    }
+    BOOST_TEST(f.peers.has_statuses_of_half(f.now, lost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
 }  // namespace poplarshed::routing::test
