http: handle only the sockets that have events

An instance that holds a pool has tens of list calls in flight, each of which waits for an answer. curl_multi_perform asked the kernel about each of them at every wake-up. The client now uses libcurl's socket interface with epoll and an eventfd, as docs/design.md weighs it, and handles only what is ready.

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "http/http.h"
+#include "http/socket_poller.h"
 
 namespace poplarshed::http {
 
@@ -24,8 +25,7 @@
 
 using command = std::variant<start_command, abandon_command>;
 
-// The loop is woken by curl_multi_wakeup; the limit only bounds a missed wake-up.
-constexpr int poll_limit_ms = 100;
+constexpr milliseconds longest_wait{1000};
 constexpr std::size_t max_idle_handles = 512;
 // Above the connections of a full set of workers; libcurl closes the oldest idle connection beyond it.
 constexpr long max_cached_connections = 2048;
@@ -126,15 +126,20 @@
 
 }  // namespace
 
-/// The thread that owns every libcurl handle.
+/// The thread that owns every libcurl handle. Only sockets with events are handled: an instance that holds a
+/// pool has tens of calls in flight, most of which wait for an answer.
 class client::loop {
 public:
     loop(client_options options, handler on_response)
         : m_options(options),
           m_on_response(std::move(on_response)),
           m_multi(curl_multi_init()),
-          m_commands(options.queue_capacity, [this] { curl_multi_wakeup(m_multi); })
+          m_commands(options.queue_capacity, [this] { m_poller.wake(); })
     {
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, on_timer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                           static_cast<long>(m_options.connections_per_host));
         curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
@@ -165,20 +170,52 @@
     void run(const std::stop_token& stop)
     {
         std::vector<command> batch;
+        std::vector<socket_poller::ready_socket> ready;
         while (!stop.stop_requested()) {
             m_commands.drain(batch);
             for (command& item : batch) {
                 std::visit([this](auto& value) { execute(value); }, item);
             }
-            int running = 0;
-            curl_multi_perform(m_multi, &running);
+            if (steady_clock::now() >= m_timer_due) {
+                m_timer_due = time_point::max();
+                act(CURL_SOCKET_TIMEOUT, 0);
+            }
             finish_done();
-            if (m_commands.size() == 0) {
-                curl_multi_poll(m_multi, nullptr, 0, poll_limit_ms, nullptr);
+            const time_point now = steady_clock::now();
+            m_poller.wait(std::min<duration>(m_timer_due - now, longest_wait), ready);
+            for (const socket_poller::ready_socket& item : ready) {
+                act(item.descriptor, (item.readable ? CURL_CSELECT_IN : 0) |
+                                         (item.writable ? CURL_CSELECT_OUT : 0) |
+                                         (item.failed ? CURL_CSELECT_ERR : 0));
             }
         }
     }
 
+    void act(curl_socket_t socket, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi, socket, events, &running);
+    }
+
+    static int on_socket(CURL* /*handle*/, curl_socket_t socket, int wanted, void* user,
+                         void* /*socket_user*/)
+    {
+        socket_poller& poller = static_cast<loop*>(user)->m_poller;
+        if (wanted == CURL_POLL_REMOVE) {
+            poller.forget(socket);
+        } else {
+            poller.watch(socket, (wanted & CURL_POLL_IN) != 0, (wanted & CURL_POLL_OUT) != 0);
+        }
+        return 0;
+    }
+
+    static int on_timer(CURLM* /*multi*/, long timeout_ms, void* user)
+    {
+        static_cast<loop*>(user)->m_timer_due =
+            timeout_ms < 0 ? time_point::max() : steady_clock::now() + milliseconds(timeout_ms);
+        return 0;
+    }
+
     static transfer* transfer_of(CURL* handle)
     {
         transfer* state = nullptr;
@@ -316,6 +353,8 @@
     client_options m_options;
     handler m_on_response;
     CURLM* m_multi;
+    socket_poller m_poller;
+    time_point m_timer_due = time_point::max();  ///< when libcurl wants to be called without an event
     bounded_ring<command> m_commands;
     std::unordered_map<call_id, CURL*> m_active;
     std::vector<CURL*> m_idle;
