routing: remember the pools of workers

The pool of a worker depends on its id and the number of pools only, so it is kept.

layout_test compares the kept division with a new one over changes of workers and of the number of pools.

--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -104,6 +104,7 @@
     timer_service m_timers;
     directory m_directory;
     store_link m_store;
+    routing::pool_division m_division;
     routing::directory_relay m_relay;
     routing::peer_table m_peers;
     routing::router m_router;
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -161,8 +161,7 @@
     }
     m_pools.on_directory_completeness(directory_current(now) && m_directory.complete(now));
     if (changes.workers || changes.layout) {
-        m_pools.on_directory(now,
-                             routing::divide_into_pools(m_directory.workers(), m_directory.own().layout()));
+        m_pools.on_directory(now, m_division.divide(m_directory.workers(), m_directory.own().layout()));
     }
     if (changes.instances) {
         update_network();
@@ -223,9 +222,9 @@
         !m_peers.has_lowest_address(now, [](const auto& status) { return status.directory_source; })) {
         return;
     }
+    m_next_proposal = now + proposal_interval;
     for (const routing::layout_change& change :
          routing::layout_changes(m_directory.workers(), m_directory.own().layout())) {
-        m_next_proposal = now + proposal_interval;
         call_store(m_store.write_layout(change));
     }
 }
--- a/source/routing/layout.cpp
+++ b/source/routing/layout.cpp
@@ -20,8 +20,11 @@
 std::size_t pool_index_of(const std::string& worker, std::size_t pools)
 {
     std::size_t chosen = 0;
+    std::uint64_t best = rendezvous_score(worker, 0);
     for (std::size_t i = 1; i < pools; ++i) {
-        if (rendezvous_score(worker, i) > rendezvous_score(worker, chosen)) {
+        const std::uint64_t score = rendezvous_score(worker, i);
+        if (score > best) {
+            best = score;
             chosen = i;
         }
     }
@@ -69,15 +72,28 @@
     return changes;
 }
 
-pool_map divide_into_pools(const std::vector<workers::worker_entry>& entries, const pool_layout& layout)
+std::size_t pool_division::index_of(const workers::worker_id& worker, std::size_t pools)
 {
+    place& known = m_known[worker];
+    if (known.pools != pools) {
+        known = {pools, pool_index_of(worker.value(), pools)};
+    }
+    return known.index;
+}
+
+pool_map pool_division::divide(const std::vector<workers::worker_entry>& entries, const pool_layout& layout)
+{
+    // Workers that have left are forgotten with all others; ids may be new in each life of a worker.
+    if (m_known.size() > 2 * entries.size()) {
+        m_known.clear();
+    }
     pool_map pools;
     for (const workers::worker_entry& entry : entries) {
         const worker_group group{entry.data_centre, entry.service};
         const auto record = layout.find(group);
         if (record != layout.end() && is_valid(record->second)) {
             const std::size_t count = record->second.pools;
-            pools[name_of(group, count, pool_index_of(entry.id.value(), count))].push_back(entry);
+            pools[name_of(group, count, index_of(entry.id, count))].push_back(entry);
         }
     }
     return pools;
--- a/source/routing/layout.h
+++ b/source/routing/layout.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <unordered_map>
 
 #include "routing/types.h"
 
@@ -49,6 +50,28 @@
 
 /// Divides workers into pools. Groups without a valid number get no pools. The pool names contain the number
 /// of pools, so that layouts of different numbers share no name.
-pool_map divide_into_pools(const std::vector<workers::worker_entry>& entries, const pool_layout& layout);
+class pool_division {
+public:
+    pool_map divide(const std::vector<workers::worker_entry>& entries, const pool_layout& layout);
+
+private:
+    struct place {
+        std::size_t pools = 0;
+        std::size_t index = 0;
+    };
+
+    std::size_t index_of(const workers::worker_id& worker, std::size_t pools);
+
+    /// Pools of the workers that were divided last. A place takes a digest for each pool, and the directory
+    /// of a thousand workers changes several times a second.
+    std::unordered_map<workers::worker_id, place> m_known;
+};
+
+/// Divides workers into pools once.
+inline pool_map divide_into_pools(const std::vector<workers::worker_entry>& entries,
+                                  const pool_layout& layout)
+{
+    return pool_division().divide(entries, layout);
+}
 
 }  // namespace poplarshed::routing
--- a/tests/routing/layout_test.cpp
+++ b/tests/routing/layout_test.cpp
@@ -86,6 +86,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a worker that stays in a pool of the former number of pools.
+BOOST_AUTO_TEST_CASE(a_division_follows_the_number_of_pools_and_the_workers)
+{
+    pool_division division;
+    for (const std::size_t pools : {std::size_t{3}, std::size_t{7}, std::size_t{3}}) {
+        const pool_layout layout{{ollur_desk, {pools, 9}}};
+        for (const std::size_t count : {std::size_t{117}, std::size_t{30}, std::size_t{160}}) {
+            BOOST_TEST(
+                (division.divide(entries(count), layout) == divide_into_pools(entries(count), layout)));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_name_of_a_pool_contains_its_data_centre_and_service)
 {
     BOOST_TEST(data_centre_of(pool_id("ollur/desk/1.0")).value() == "ollur");
