routing: bound the statuses that an instance sends

Only what an instance receives was bounded. The interval is now at least 3 ms for each receiver of the own and of other data centres, and that of instances without pools is twice as long; claims no longer rest on the latter.

status_schedule_test: a holder sends at most 700 a second at 30, 147 and 720 instances, and at 147 still often enough that offers carry a usable reading of its clock.

--- a/source/routing/status_schedule.cpp
+++ b/source/routing/status_schedule.cpp
@@ -8,10 +8,13 @@
 
 // The interval of a sender is the number of senders of its kind multiplied by one of these times. So an
 // instance receives at most 200 statuses a second from frequent senders of its data centre, 100 from those of
-// other data centres, and 100 each from the other instances of its own and of other data centres. At 20 us
-// for a status this takes 1% of a core.
+// other data centres, and 50 each from the other instances of its own and of other data centres.
 constexpr milliseconds interval_per_near_frequent_sender{5};
-constexpr milliseconds interval_per_other_sender{10};
+constexpr milliseconds interval_per_far_frequent_sender{10};
+constexpr milliseconds interval_per_plain_sender{20};
+// The interval is also at least the number of receivers multiplied by this time. So an instance sends at most
+// 333 statuses a second to each of the two groups, beside those to instances that share a job.
+constexpr milliseconds interval_per_receiver{3};
 // Statuses of instances of other data centres that hold no pool only show that these are live.
 constexpr milliseconds min_far_interval{240};
 
@@ -27,17 +30,24 @@
 
 intervals intervals_of(time_point now, const status_schedule::view& state)
 {
-    int near = 1;
-    int far = 1;
+    int near_senders = 1;
+    int far_senders = 1;
+    int near_receivers = 0;
+    int far_receivers = 0;
     for (const workers::instance_status* other : state.peers.live(now)) {
+        const bool is_near = other->data_centre == state.peers.data_centre();
+        ++(is_near ? near_receivers : far_receivers);
         if (is_frequent_sender(*other) == state.sends_often) {
-            ++(other->data_centre == state.peers.data_centre() ? near : far);
+            ++(is_near ? near_senders : far_senders);
         }
     }
-    return {std::max(min_status_interval, near * (state.sends_often ? interval_per_near_frequent_sender
-                                                                    : interval_per_other_sender)),
-            std::max(state.sends_often ? min_status_interval : min_far_interval,
-                     far * interval_per_other_sender)};
+    const milliseconds near_sending =
+        near_senders * (state.sends_often ? interval_per_near_frequent_sender : interval_per_plain_sender);
+    const milliseconds far_sending =
+        far_senders * (state.sends_often ? interval_per_far_frequent_sender : interval_per_plain_sender);
+    return {std::max({min_status_interval, near_sending, near_receivers * interval_per_receiver}),
+            std::max({state.sends_often ? min_status_interval : min_far_interval, far_sending,
+                      far_receivers * interval_per_receiver})};
 }
 
 }  // namespace
--- a/tests/routing/status_schedule_test.cpp
+++ b/tests/routing/status_schedule_test.cpp
@@ -97,6 +97,31 @@
     }
 }
 
+// Guards against holders that spend their processor time on statuses: with 16 a second to each instance, a
+// holder among 147 sent 2,400 a second.
+BOOST_AUTO_TEST_CASE(what_a_holder_sends_is_bounded)
+{
+    for (const std::size_t count : {std::size_t{30}, std::size_t{147}, std::size_t{720}}) {
+        fixture f(count);
+        f.sent_within(milliseconds(10));
+        int sent = 0;
+        for (const auto& [to, statuses] : f.sent_within(seconds(4))) {
+            sent += statuses;
+        }
+        BOOST_TEST(sent <= 700 * 4, count);
+    }
+}
+
+// A holder rejects an offer whose reading of its clock is older than 480 ms. Guards against load figures and
+// clock readings that are too old to offer a job in another data centre.
+BOOST_AUTO_TEST_CASE(holders_send_often_enough_for_offers_at_147_instances)
+{
+    fixture f(147);
+    for (const auto& [to, statuses] : f.sent_within(seconds(4))) {
+        BOOST_TEST(statuses >= 9, to.value());
+    }
+}
+
 // Guards against a holder that continues the jobs of an unreachable owner beyond the time after which the
 // caller sends them again (1.3 s).
 BOOST_AUTO_TEST_CASE(instances_that_share_a_job_exchange_statuses_often)
