routing: take a newer configuration from any peer that has it

When the source of a data centre is turned away, it notices after a second or two, and its followers then ask another data centre for the whole directory, which is handed out ten times a second at most.

Statuses name the version in force. An instance that has been behind a peer for 700 ms asks it for the configuration alone, peers with the newest version in turn and each instance beginning with another one. The directory is not touched by the answer. A release without the new field answers with its whole directory, which is ignored.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -291,6 +291,7 @@
     update_directory(now);
     follow_store_state(now);
     follow_directory(now);
+    follow_configuration(now);
     m_router.on_tick(now);
     m_pools.on_tick(now);
     const bool ready = m_configured && !m_leaving && has_pool(now);
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -84,6 +84,7 @@
     void decide_ownership(time_point now);
     void update_directory(time_point now);
     void follow_directory(time_point now);
+    void follow_configuration(time_point now);
     bool directory_current(time_point now) const;
     bool is_directory_source(time_point now) const { return m_relay.is_source() && m_store.watches(now); }
     void apply_configuration();
@@ -106,6 +107,7 @@
     store_link m_store;
     routing::pool_division m_division;
     routing::directory_relay m_relay;
+    routing::configuration_relay m_configuration_relay;
     routing::peer_table m_peers;
     routing::router m_router;
     routing::configuration m_configuration;
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -275,6 +275,20 @@
     }
 }
 
+void daemon::follow_configuration(time_point now)
+{
+    const auto from = m_configuration_relay.decide(now, m_peers, m_configuration.version);
+    if (!from) {
+        return;
+    }
+    m_log.event({severity::info,
+                 telemetry::category::configuration,
+                 "configuration requested from a peer",
+                 {},
+                 {{"peer", from->value()}, {"version", static_cast<std::int64_t>(m_configuration.version)}}});
+    send(now, *from, workers::directory_pull{m_settings.peers, 0, true});
+}
+
 bool daemon::directory_current(time_point now) const
 {
     return m_store.watches(now) || (m_confirmed != time_point{} && now < m_confirmed + confirmation_time);
--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -88,6 +88,12 @@
 
 void daemon::receive(time_point now, workers::directory_pull& message)
 {
+    if (message.configuration_only) {
+        workers::directory_push answer = m_directory.configuration();
+        answer.source = m_settings.peers;
+        send(now, message.from, std::move(answer));
+        return;
+    }
     if (!directory_current(now)) {
         return;
     }
@@ -105,6 +111,11 @@
 
 void daemon::receive(time_point now, workers::directory_push& message)
 {
+    if (message.configuration_only) {
+        m_directory.on_configuration(message);
+        update_directory(now);
+        return;
+    }
     if (m_upstream.source != message.source) {
         return;
     }
--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -59,6 +59,18 @@
     }
 }
 
+void directory::on_configuration(const workers::directory_push& push)
+{
+    for (const workers::directory_item& one : push.items) {
+        const store_item content{one.key, one.value, one.revision, one.value.empty()};
+        if (const auto fault = fault_of(content)) {
+            skip(content.key, *fault);
+        } else if (content.key == m_protocol.configuration_key()) {
+            apply_configuration(content);
+        }
+    }
+}
+
 void directory::apply(time_point now, const store_item& content)
 {
     m_lapsed = m_lapsed == time_point{} ? now : m_lapsed;
@@ -280,6 +292,17 @@
     return push;
 }
 
+workers::directory_push directory::configuration() const
+{
+    workers::directory_push push;
+    push.configuration_only = true;
+    const store_item& content = m_configuration.content;
+    if (!content.key.empty()) {
+        push.items.push_back({content.key, content.revision, content.value});
+    }
+    return push;
+}
+
 std::vector<workers::worker_entry> directory::workers() const
 {
     std::vector<workers::worker_entry> found;
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -37,6 +37,8 @@
     void on_events(time_point now, const std::vector<store_item>& items);
     /// Items that a peer passes on. Older ones than the known ones are left out.
     void on_relay(time_point now, const workers::directory_push& push);
+    /// The configuration of a peer. Says nothing of what else the peer knows.
+    void on_configuration(const workers::directory_push& push);
     /// A call to the store has failed: entries that go now may come back.
     void on_store_failure(time_point now) { m_failed = now; }
     /// Drops workers that are missing for longer than an outage explains. To be called while the store is
@@ -56,6 +58,8 @@
     }
     /// Items that have changed since a sequence number; all where it is not remembered.
     workers::directory_push changes_since(std::uint64_t sequence) const;
+    /// The configuration alone, for a peer whose own is older.
+    workers::directory_push configuration() const;
     std::uint64_t sequence() const { return m_sequence; }
     /// Greatest revision of an item that is used.
     std::uint64_t revision() const { return m_revision; }
--- a/source/routing/routing.h
+++ b/source/routing/routing.h
@@ -3,6 +3,7 @@
 /// Public header of the routing library, which decides which instance holds which pool and which pool gets a
 /// job. No I/O.
 
+#include "routing/configuration_relay.h"
 #include "routing/directory_relay.h"
 #include "routing/layout.h"
 #include "routing/ownership.h"
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -207,12 +207,12 @@
 
 flatbuffers::Offset<fb::directory_pull> pack(builder& out, const workers::directory_pull& value)
 {
-    return fb::Createdirectory_pull(out, value.since, pack(out, value.from));
+    return fb::Createdirectory_pull(out, value.since, pack(out, value.from), value.configuration_only);
 }
 
 std::optional<workers::directory_pull> unpack(const fb::directory_pull& table)
 {
-    return workers::directory_pull{endpoint(table.from()->str()), table.since()};
+    return workers::directory_pull{endpoint(table.from()->str()), table.since(), table.configuration_only()};
 }
 
 flatbuffers::Offset<fb::directory_push> pack(builder& out, const workers::directory_push& value)
@@ -222,7 +222,8 @@
         return fb::Createdirectory_entry(out, key, item.revision, out.CreateString(item.value));
     });
     const auto source = pack(out, value.source);
-    return fb::Createdirectory_push(out, value.revision, items, value.complete, source, value.sequence);
+    return fb::Createdirectory_push(out, value.revision, items, value.complete, source, value.sequence,
+                                    value.configuration_only);
 }
 
 std::optional<workers::directory_push> unpack(const fb::directory_push& table)
@@ -230,8 +231,12 @@
     auto items = unpack_each(*table.items(), [](const fb::directory_entry& item) {
         return workers::directory_item{item.key()->str(), item.revision(), item.value()->str()};
     });
-    return workers::directory_push{endpoint(table.source()->str()), table.sequence(), table.revision(),
-                                   table.complete(), std::move(items)};
+    return workers::directory_push{endpoint(table.source()->str()),
+                                   table.sequence(),
+                                   table.revision(),
+                                   table.complete(),
+                                   std::move(items),
+                                   table.configuration_only()};
 }
 
 }  // namespace poplarshed::wire
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -189,6 +189,7 @@
 struct directory_pull {
     endpoint from;
     std::uint64_t since = 0;
+    bool configuration_only = false;  ///< requests the configuration, regardless of `since`
 
     bool operator==(const directory_pull&) const = default;
 };
@@ -200,6 +201,8 @@
     std::uint64_t revision = 0;  ///< highest revision of the source's items
     bool complete = false;       ///< contains all items; items that are missing were removed
     std::vector<directory_item> items;
+    bool configuration_only =
+        false;  ///< answers a request for the configuration; says nothing of other items
 
     bool operator==(const directory_push&) const = default;
 };
