routing: spread jobs over equally good pools

Load pattern: many instances choose a pool by statuses of the same age. Pools with room all promised the same finish, and each instance took the first of them by name, so the first pool of a data centre got all jobs until its next status while the others were idle; its holder did most of the work.

--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <utility>
 
+#include "routing/pool_choice.h"
+
 namespace poplarshed::routing {
 
 namespace {
@@ -139,11 +141,24 @@
     }
 }
 
+workers::backlog router::expected_backlog(const endpoint& holder, const workers::pool_load& load) const
+{
+    workers::backlog queue{load.capacity_cpu, load.free_cpu, load.waiting_cpu_ms};
+    const auto sent = m_sent_work.find(holder);
+    if (sent != m_sent_work.end() && sent->second.contains(load.pool)) {
+        const sent_work& extra = sent->second.at(load.pool);
+        const std::int64_t placed = std::min(queue.free_cpu, extra.cpu);
+        queue.free_cpu -= placed;
+        queue.ahead_cpu_ms += extra.cpu > 0 ? extra.cpu_ms * (extra.cpu - placed) / extra.cpu : 0;
+    }
+    return queue;
+}
+
 std::optional<router::choice> router::choose(time_point now, const job& pending_job) const
 {
     const workers::job_demand need = demand_of(pending_job.offer.steps);
-    std::optional<choice> best;
-    milliseconds best_cost{};
+    std::vector<pool_candidate> candidates;
+    std::vector<choice> choices;
     m_peers.for_each_pool(
         now, pending_job.offer.service,
         [&](const workers::instance_status& status, const workers::pool_load& load) {
@@ -151,14 +166,7 @@
             if (status.leaving || std::find(returned.begin(), returned.end(), load.pool) != returned.end()) {
                 return;
             }
-            workers::backlog queue{load.capacity_cpu, load.free_cpu, load.waiting_cpu_ms};
-            const auto sent = m_sent_work.find(status.address);
-            if (sent != m_sent_work.end() && sent->second.contains(load.pool)) {
-                const sent_work& extra = sent->second.at(load.pool);
-                const std::int64_t placed = std::min(queue.free_cpu, extra.cpu);
-                queue.free_cpu -= placed;
-                queue.ahead_cpu_ms += extra.cpu > 0 ? extra.cpu_ms * (extra.cpu - placed) / extra.cpu : 0;
-            }
+            const workers::backlog queue = expected_backlog(status.address, load);
             const auto predicted = workers::expected_finish(queue, need);
             if (!predicted) {
                 return;
@@ -167,12 +175,11 @@
             const milliseconds age = m_peers.status_age(now, status.address).value_or(milliseconds(0));
             const milliseconds cost = *predicted + (near ? milliseconds(0) : remote_cost) +
                                       (age > max_fresh_age(status) ? stale_cost : milliseconds(0));
-            if (!best || cost < best_cost) {
-                best = choice{load.pool, status.address, *predicted, age};
-                best_cost = cost;
-            }
+            candidates.push_back({load.pool, cost, queue.free_cpu});
+            choices.push_back({load.pool, status.address, *predicted, age});
         });
-    return best;
+    const auto chosen = choose_pool(candidates, pending_job.offer.job);
+    return chosen ? std::optional(choices.at(*chosen)) : std::nullopt;
 }
 
 bool router::offer(time_point now, job& pending_job, routing_decision decision)
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -147,6 +147,8 @@
         milliseconds status_age{};
     };
 
+    /// Load of a pool in the last status, with the work that was sent to it since.
+    workers::backlog expected_backlog(const endpoint& holder, const workers::pool_load& load) const;
     std::optional<choice> choose(time_point now, const job& pending_job) const;
     /// False for a short time after a pause of this process.
     bool may_offer(time_point now) const { return now >= m_no_offers_until; }
--- a/source/routing/routing.h
+++ b/source/routing/routing.h
@@ -8,6 +8,7 @@
 #include "routing/layout.h"
 #include "routing/ownership.h"
 #include "routing/peers.h"
+#include "routing/pool_choice.h"
 #include "routing/router.h"
 #include "routing/status_schedule.h"
 #include "routing/types.h"
