workers: keep starts within what the path to the workers carries

Cause: starts that were not answered within 80 ms counted as lost.

A pool now watches the median answer time of its starts. Above 20 ms, which a few silent workers cannot cause, it waits longer for answers, lets fewer starts wait for an answer at the same time, adds the delay to its forecasts and reports no free room while the limit is reached. Time-outs are part of the commands, so that the harnesses in virtual time use the same ones.

--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -8,10 +8,6 @@
 
 constexpr int http_too_many = 429;
 constexpr int http_server_error = 500;
-// A worker answers an order within a few milliseconds; ten times that covers a busy link.
-constexpr milliseconds start_timeout{80};
-constexpr milliseconds stop_timeout{100};
-constexpr milliseconds list_extra_time{120};
 constexpr milliseconds store_timeout{700};
 constexpr milliseconds watch_extra_time{2200};
 // An answer to a pull takes two hops; statuses tell of changes every 60 ms or more.
@@ -27,15 +23,13 @@
 
 void daemon::send_order(pending_order order)
 {
-    http::request request =
-        std::visit([this](const auto& item) { return m_protocol.encode(item); }, order.order);
-    if (std::holds_alternative<workers::start_command>(order.order)) {
-        request.timeout = start_timeout;
-    } else if (const auto* list = std::get_if<workers::list_command>(&order.order)) {
-        request.timeout = list->wait + list_extra_time;
-    } else {
-        request.timeout = stop_timeout;
-    }
+    http::request request = std::visit(
+        [this](const auto& item) {
+            http::request encoded = m_protocol.encode(item);
+            encoded.timeout = item.answer_within;
+            return encoded;
+        },
+        order.order);
     const http::call_id id(++m_last_call);
     m_calls.emplace(id, std::move(order));
     if (!m_http.start(id, std::move(request))) {
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "workers/command_path.h"
 #include "workers/grant.h"
 #include "workers/policy.h"
 #include "workers/speed.h"
@@ -208,6 +209,10 @@
     std::vector<job_record*> waiting_in_order(time_point now);
     backlog current_backlog(time_point now) const;
     std::int64_t typical_cpu() const;
+    /// Starts that the worker has neither answered nor failed to answer.
+    std::size_t unanswered_starts() const;
+    /// Part of the objective that is needed to send the start and to receive the end of a task.
+    milliseconds reporting_time() const;
     // Runs
     /// The worker has confirmed the run, so lists sent from now on contain it until it ends.
     static void confirm_run(const worker_record& worker, run_record& run);
@@ -222,6 +227,7 @@
     void requeue(job_record& job, std::uint32_t number);
     void record_failure(time_point now, worker_record& worker, const job_id& failed);
     void send_stop(time_point now, worker_record& worker, run_record& run);
+    stop_command make_stop(const worker_record& worker, const task_ref& task, run_number number) const;
     void check_runs(time_point now, worker_record& worker);
     /// Makes the worker reject abandoned starts that may still be in transit.
     void reject_abandoned_starts(const worker_record& worker);
@@ -252,6 +258,8 @@
     bool m_fenced = false;
     bool m_directory_complete = false;
     std::uint64_t m_last_run;
+    command_path m_path;
+    bool m_window_full = false;  ///< tasks wait for the answers to earlier starts
     std::map<worker_id, worker_record> m_workers;
     std::unordered_map<job_id, std::unique_ptr<job_record>> m_jobs;
     std::map<task_ref, time_point> m_orphan_ends;  ///< finished before their job was claimed
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -15,6 +15,9 @@
 // attempts fit into the lease. Later ones are repeated at the retry interval.
 constexpr unsigned max_immediate_lists = 2;
 constexpr milliseconds unreachable_retry_interval{250};
+// A worker answers a command within a few milliseconds; ten times that covers a busy link.
+constexpr milliseconds stop_patience{100};
+constexpr milliseconds list_patience{120};
 // Unacknowledged stops are sent again after this time.
 constexpr milliseconds stop_retry_interval{100};
 // No task is started on a worker that reported itself unhealthy for this time.
@@ -131,19 +134,20 @@
 
 void pool::send_list(time_point now, worker_record& worker)
 {
-    list_command command{
-        {worker.entry.id, worker.entry.address}, std::nullopt, worker.acknowledged, {}, m_options.token};
-    const time_point until = std::min(now + m_options.lease, lease_limit(worker));
     // Another instance holds the pool; workers that it has not reached yet would renew the leases.
     if (m_fenced) {
         return;
     }
+    list_command command{
+        {worker.entry.id, worker.entry.address}, std::nullopt, worker.acknowledged, {}, m_options.token, {}};
+    const time_point until = std::min(now + m_options.lease, lease_limit(worker));
     if (worker.listed && !worker.unreachable && !worker.runs.empty() && worker.clock_offset_ms &&
         until > now) {
         command.lease_until_ms = worker_time(until, worker);
         command.wait = list_wait(now, worker);
         extend_leases(now, worker);
     }
+    command.answer_within = command.wait + m_path.patience(list_patience);
     ++worker.lists_sent;
     worker.list_pending = true;
     worker.ends_pending = false;
@@ -180,6 +184,9 @@
         return;
     }
     run_record& run = found->second;
+    if (reply.outcome != start_outcome::unreachable) {
+        m_path.observe(elapsed(now, run.sent));
+    }
     if (reply.clock_ms && worker.clock_offset_ms && run.sent > worker.restart_detected_at) {
         if (run.lease_until_ms - *reply.clock_ms > (m_options.lease + max_clock_lag).count()) {
             on_worker_restart(now, worker);
@@ -192,6 +199,9 @@
         if (job != nullptr && !run.stopping) {
             job->tasks[task_number(*job, reply.task)].state = task_state::running;
         }
+        if (m_window_full) {
+            schedule(now);
+        }
         return;
     }
     record(decision::start_failed, reply.task.job, reply.worker,
@@ -510,8 +520,16 @@
             task.state = task_state::stopping;
         }
     }
-    m_actions.emplace_back(
-        stop_command{{worker.entry.id, worker.entry.address}, run.task, run.number, m_options.token});
+    m_actions.emplace_back(make_stop(worker, run.task, run.number));
+}
+
+stop_command pool::make_stop(const worker_record& worker, const task_ref& task, run_number number) const
+{
+    return {{worker.entry.id, worker.entry.address},
+            task,
+            number,
+            m_options.token,
+            m_path.patience(stop_patience)};
 }
 
 void pool::reject_abandoned_starts(const worker_record& worker)
@@ -521,8 +539,7 @@
         if (found != worker.runs.end() && found->second.number == start.number) {
             continue;  // It has started after all, and is adopted or stopped as an unknown run.
         }
-        m_actions.emplace_back(
-            stop_command{{worker.entry.id, worker.entry.address}, ref, start.number, m_options.token});
+        m_actions.emplace_back(make_stop(worker, ref, start.number));
     }
 }
 
@@ -532,8 +549,8 @@
     for (auto& [ref, run] : worker.runs) {
         if (run.stop_acknowledged && now > *run.stop_acknowledged + 2 * m_options.stop_time) {
             stopped.push_back(ref);
-        } else if (run.stopping && !run.stop_acknowledged && now > run.stop_sent + stop_retry_interval &&
-                   !worker.unreachable) {
+        } else if (run.stopping && !run.stop_acknowledged &&
+                   now > run.stop_sent + m_path.patience(stop_retry_interval) && !worker.unreachable) {
             send_stop(now, worker, run);
         } else if (run.orphan && !run.stopping && now > run.sent + adoption_timeout) {
             record(decision::orphan_stopped, ref.job, worker.entry.id, {});
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -13,8 +13,9 @@
 constexpr std::int64_t default_task_cpu = 8000;
 // Under a shorter lease a start would be rejected, or the lease would expire before its renewal.
 constexpr milliseconds min_lease{250};
-// Part of the objective reserved for sending the start and receiving the end of a task.
-constexpr milliseconds reporting_time{10};
+// Least part of the objective reserved for sending the start and receiving the end of a task.
+constexpr milliseconds min_reporting_time{10};
+constexpr milliseconds start_patience{80};
 
 milliseconds scaled(milliseconds value, double factor)
 {
@@ -118,14 +119,14 @@
         need.cpu += step.need.cpu_milli * waiting;
         need.cpu_ms += step.need.cpu_milli * waiting * scaled(step.estimate, ratio).count();
     }
-    need.critical_path = scaled(critical_path(job.offer.steps), ratio) + reporting_time;
+    need.critical_path = scaled(critical_path(job.offer.steps), ratio) + reporting_time();
     return need;
 }
 
 queue_rank pool::rank(time_point now, const job_record& job, double ratio) const
 {
     const milliseconds chain = scaled(critical_path(job.offer.steps), ratio);
-    const time_point latest = job.objective_at - chain - reporting_time;
+    const time_point latest = job.objective_at - chain - reporting_time();
     // A started job keeps its rank: its finished tasks are wasted unless the remaining ones run.
     const bool overdue = !job.started && now > latest;
     return {overdue, latest, demand(job, ratio).cpu_ms};
@@ -163,6 +164,22 @@
     return count == 0 ? default_task_cpu : total / count;
 }
 
+milliseconds pool::reporting_time() const
+{
+    return std::max(min_reporting_time, 2 * m_path.typical_answer_time());
+}
+
+std::size_t pool::unanswered_starts() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, worker] : m_workers) {
+        count += static_cast<std::size_t>(std::count_if(
+            worker.runs.begin(), worker.runs.end(),
+            [](const auto& entry) { return !entry.second.first_list_with_run && !entry.second.stopping; }));
+    }
+    return count;
+}
+
 backlog pool::current_backlog(time_point now) const
 {
     const std::int64_t typical = std::max<std::int64_t>(1, typical_cpu());
@@ -184,6 +201,9 @@
     if (m_fenced) {
         return;
     }
+    std::size_t window = m_path.window();
+    window -= std::min(window, unanswered_starts());
+    m_window_full = window == 0;
     for (job_record* job : waiting_in_order(now)) {
         // The owner may assign the job to another holder some time after the grant has expired.
         if (now > job->granted_until) {
@@ -191,7 +211,8 @@
         }
         const bool former_runs_known =
             now >= job->uncertain_until || all_workers_listed(last_former_start(*job));
-        for (std::uint32_t number = 0; number < job->tasks.size() && job->waiting > 0; ++number) {
+        for (std::uint32_t number = 0; number < job->tasks.size() && job->waiting > 0 && window > 0;
+             ++number) {
             if (job->tasks[number].state != task_state::waiting ||
                 (!former_runs_known && job->uncertain.contains(number))) {
                 continue;
@@ -199,6 +220,8 @@
             if (!place_task(now, *job, number)) {
                 break;
             }
+            --window;
+            m_window_full = window == 0;
         }
     }
 }
@@ -286,7 +309,8 @@
                                          assigned,
                                          job.offer.payload,
                                          run.lease_until_ms,
-                                         m_options.token});
+                                         m_options.token,
+                                         m_path.patience(start_patience)});
     if (!worker.list_pending) {
         send_list(now, worker);
     }
@@ -300,7 +324,7 @@
     value.token = m_options.token;
     const backlog queue = current_backlog(now);
     value.capacity_cpu = queue.capacity_cpu;
-    value.free_cpu = queue.free_cpu;
+    value.free_cpu = unanswered_starts() < m_path.window() ? queue.free_cpu : 0;
     const double ratio = mean_ratio(now);
     for (const auto& [id, job] : m_jobs) {
         const std::int64_t work = job->waiting > 0 ? demand(*job, ratio).cpu_ms : 0;
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -232,6 +232,7 @@
     std::string payload;
     std::int64_t lease_until_ms = 0;  ///< on the worker's clock; a start that arrives later is rejected
     fencing_token token;
+    milliseconds answer_within{};  ///< the start counts as unanswered after this time
 
     bool operator==(const start_command&) const = default;
 };
@@ -242,6 +243,7 @@
     task_ref task;
     run_number run;
     fencing_token token;
+    milliseconds answer_within{};
 
     bool operator==(const stop_command&) const = default;
 };
@@ -254,6 +256,7 @@
     std::uint64_t acknowledged = 0;  ///< acknowledges ends up to this number
     milliseconds wait{};             ///< time that the worker delays its answer unless a run ends
     fencing_token token;
+    milliseconds answer_within{};  ///< `wait` included
 
     bool operator==(const list_command&) const = default;
 };
--- a/tests/instance/fleet_workers.cpp
+++ b/tests/instance/fleet_workers.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// The daemon's time-outs.
-constexpr milliseconds start_timeout{80};
-constexpr milliseconds stop_timeout{100};
-constexpr milliseconds list_extra{120};
 constexpr milliseconds longest_stop{50};
 // Between the two times that a doubled order is carried out.
 constexpr milliseconds longest_repeat{1200};
@@ -21,11 +17,7 @@
 
 milliseconds timeout_of(const worker_order& order)
 {
-    if (std::holds_alternative<workers::start_command>(order)) {
-        return start_timeout;
-    }
-    const auto* list = std::get_if<workers::list_command>(&order);
-    return list == nullptr ? stop_timeout : list->wait + list_extra;
+    return std::visit([](const auto& item) { return item.answer_within; }, order);
 }
 
 order_answer no_answer(const worker_order& order)
--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -9,8 +9,6 @@
 // Processor need of a task whose job is no longer known, in thousandths of a core.
 constexpr std::int64_t unknown_job_cpu = 14'000;
 constexpr milliseconds one_way{1};
-constexpr milliseconds start_timeout{80};
-constexpr milliseconds stop_timeout{100};
 constexpr milliseconds list_extra{120};
 constexpr milliseconds stop_time{50};
 constexpr std::int64_t max_lease_ms = 1000;
@@ -142,7 +140,7 @@
     const worker_behaviour& behaviour = at(command.target.worker).behaviour;
     const bool late = m_random.unit() < std::max(behaviour.delayed_starts, behaviour.delayed_commands);
     deliver_command(
-        holder, command.target.worker, start_timeout, false, late,
+        holder, command.target.worker, command.answer_within, false, late,
         [this, command, reply](const respond& answer) {
             const start_outcome reached = execute_start(command);
             const std::int64_t clock = clock_ms(at(command.target.worker));
@@ -183,7 +181,7 @@
 {
     const worker_behaviour& behaviour = at(command.target.worker).behaviour;
     deliver_command(
-        holder, command.target.worker, stop_timeout, happens(behaviour.lost_stops),
+        holder, command.target.worker, command.answer_within, happens(behaviour.lost_stops),
         happens(behaviour.delayed_commands),
         [this, command](const respond& answer) { execute_stop(command, answer); },
         [this, command](workers::pool& pool) {
@@ -228,7 +226,7 @@
     const worker_behaviour& behaviour = at(command.target.worker).behaviour;
     const bool lost = !behaviour.unreachable && m_random.unit() < behaviour.lost_lists;
     deliver_command(
-        holder, command.target.worker, command.wait + list_extra, lost, happens(behaviour.delayed_commands),
+        holder, command.target.worker, command.answer_within, lost, happens(behaviour.delayed_commands),
         [this, command](const respond& answer) { execute_list(command, answer); },
         [this, command](workers::pool& pool) {
             pool.on_list_failure(m_now, command.target.worker, list_failure::unanswered);
