instance: use no worker again that has left

An instance that changes to another source of the directory takes all its items. If that source had not learned of a removal yet, the worker that had left was back in the directory and was listed and offered work until the source caught up. Found by looking for "a server that had left was in use again"; the new test fails without the check (2 workers in place of 1).

Items whose removal is known here, by the revision of the removal, are not used. A worker may have registered again under its id meanwhile, unchanged, which a source does not announce; so everything is asked for again a second later, until the source is no longer behind.

--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -6,6 +6,8 @@
 
 // All items of 3,000 workers are about 1 MB; this bounds what waits on the links of a source that many ask.
 constexpr milliseconds full_push_interval{100};
+// A peer that is behind catches up within the time after which its watch counts as lost.
+constexpr milliseconds retry_of_outdated_directory{1000};
 
 }  // namespace
 
@@ -121,7 +123,17 @@
     }
     m_pull_pending = false;
     m_followed_sequence = message.sequence;
-    m_directory.on_relay(now, message);
+    if (!m_directory.on_relay(now, message)) {
+        m_log.event({severity::info,
+                     telemetry::category::membership,
+                     "peer is behind; its directory is asked for again",
+                     {},
+                     {{"peer", message.source.value()},
+                      {"revision", static_cast<std::int64_t>(message.revision)},
+                      {"own_revision", static_cast<std::int64_t>(m_directory.revision())}}});
+        m_followed_sequence = 0;
+        m_last_pull = now + retry_of_outdated_directory;
+    }
     update_directory(now);
 }
 
--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -46,10 +46,18 @@
     }
 }
 
-void directory::on_relay(time_point now, const workers::directory_push& push)
+bool directory::was_removed(const std::string& key, std::uint64_t revision) const
 {
+    const auto removed = m_removed.find(key);
+    return removed != m_removed.end() && revision <= removed->second.content.revision;
+}
+
+bool directory::on_relay(time_point now, const workers::directory_push& push)
+{
+    bool is_behind = false;
     std::set<std::string> present;
     for (const workers::directory_item& one : push.items) {
+        is_behind = is_behind || (!one.value.empty() && was_removed(one.key, one.revision));
         present.insert(one.key);
         apply(now, {one.key, one.value, one.revision, one.value.empty()});
     }
@@ -57,6 +65,7 @@
     if (push.complete && push.revision >= m_revision) {
         keep_only(now, "", present);
     }
+    return !is_behind;
 }
 
 void directory::on_configuration(const workers::directory_push& push)
@@ -91,6 +100,10 @@
         remove(now, content);
         return;
     }
+    if (was_removed(content.key, content.revision)) {
+        return;
+    }
+    const auto removed = m_removed.find(content.key);
     m_vanished.erase(content.key);
     const bool matters = !is_worker(content.key) || apply_worker(now, content);
     item& kept = m_items[content.key];
@@ -100,10 +113,10 @@
     }
     kept.content = content;
     if (matters) {
-        const auto gone = m_removed.find(content.key);
-        kept.changed = number(content.key, gone == m_removed.end() ? kept.changed : gone->second.changed);
-        if (gone != m_removed.end()) {
-            m_removed.erase(gone);
+        kept.changed =
+            number(content.key, removed == m_removed.end() ? kept.changed : removed->second.changed);
+        if (removed != m_removed.end()) {
+            m_removed.erase(removed);
         }
         if (!is_worker(content.key)) {
             apply_own(content);
@@ -189,10 +202,10 @@
         m_vanished.try_emplace(content.key, now);
         return;
     }
-    drop(now, content.key);
+    drop(now, content.key, content.revision);
 }
 
-void directory::drop(time_point now, const std::string& key)
+void directory::drop(time_point now, const std::string& key, std::uint64_t revision)
 {
     const auto known = m_items.find(key);
     if (known == m_items.end()) {
@@ -211,7 +224,7 @@
         m_first_sequence = m_sequence;
     }
     item& removed = m_removed[key];
-    removed.content = {key, {}, known->second.content.revision, true};
+    removed.content = {key, {}, std::max(revision, known->second.content.revision), true};
     removed.changed = number(key, known->second.changed);
     m_items.erase(known);
     m_faults.forget(key);
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -36,7 +36,11 @@
     void on_list(time_point now, const std::string& prefix, const std::vector<store_item>& items);
     void on_events(time_point now, const std::vector<store_item>& items);
     /// Items that a peer passes on. Older ones than the known ones are left out.
-    void on_relay(time_point now, const workers::directory_push& push);
+    /// Items of a peer.
+    /// @returns false if the peer is behind: it has sent items whose removal is known here. These are not
+    /// used, and all items must be asked for again, since a peer does not announce an item that came back
+    /// unchanged.
+    bool on_relay(time_point now, const workers::directory_push& push);
     /// The configuration of a peer. Says nothing of what else the peer knows.
     void on_configuration(const workers::directory_push& push);
     /// A call to the store has failed: entries that go now may come back.
@@ -86,7 +90,10 @@
     /// @returns false if nothing but a sign of life has changed
     bool apply_worker(time_point now, const store_item& content);
     void remove(time_point now, const store_item& content);
-    void drop(time_point now, const std::string& key);
+    /// True if an item was removed here at or after a revision.
+    bool was_removed(const std::string& key, std::uint64_t revision) const;
+    /// @param revision of the removal; 0 if unknown
+    void drop(time_point now, const std::string& key, std::uint64_t revision = 0);
     void keep_only(time_point now, const std::string& prefix, const std::set<std::string>& present);
     void mark(const std::string& key);
     /// Numbers a change. @param before number of the last change of the same key, 0 for none
--- a/tests/users_platform/directory_test.cpp
+++ b/tests/users_platform/directory_test.cpp
@@ -183,6 +183,24 @@
     BOOST_TEST(f.follower.workers().size() == 2U);
 }
 
+// The source of a data centre is lost, and its followers take everything from an instance elsewhere that has
+// not learned of the last removals yet. Guards against a worker that has left and is used again.
+BOOST_AUTO_TEST_CASE(a_source_that_is_behind_brings_no_removed_worker_back)
+{
+    fixture f;
+    f.source.on_list(f.now, codec.workers_prefix(), {worker("i-1", 5, 1), worker("i-2", 6, 1)});
+    f.follower.on_list(f.now, codec.workers_prefix(), {worker("i-1", 5, 1), worker("i-2", 6, 1)});
+    f.source.on_events(f.now, {worker("i-1", 8, 2)});
+    f.follower.on_events(f.now, {gone(codec.workers_prefix() + "i-1", 9)});
+    BOOST_REQUIRE_EQUAL(f.follower.workers().size(), 1U);
+    BOOST_TEST(!f.follower.on_relay(f.now, f.source.changes_since(0)));
+    BOOST_TEST(f.follower.workers().size() == 1U);
+    // The worker registers again under its id.
+    f.source.on_events(f.now, {worker("i-1", 12, 1)});
+    BOOST_TEST(f.follower.on_relay(f.now, f.source.changes_since(0)));
+    BOOST_TEST(f.follower.workers().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(when_a_worker_may_run_on_out_of_sight)
