--- a/tests/instance/fleet_instance.h
+++ b/tests/instance/fleet_instance.h
@@ -38,6 +38,8 @@
     void turn();
     /// Nothing runs for a time.
     void pause(milliseconds length);
+    /// Its time of day jumps.
+    void step_wall_clock(milliseconds by) { m_identity.wall_offset += by; }
     bool is_paused() const { return m_world.time.now() < m_paused_until; }
     milliseconds paused_time() const { return m_paused_time; }
 
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -219,6 +219,15 @@
     }
 }
 
+void virtual_fleet::step_clock(std::size_t index, milliseconds by)
+{
+    note_fault("time of day of " + name(index) + " jumps", by);
+    m_identities.at(index).wall_offset += by;
+    if (is_alive(index)) {
+        m_instances.at(index)->step_wall_clock(by);
+    }
+}
+
 void virtual_fleet::kill(std::size_t index, milliseconds until_start)
 {
     if (!is_alive(index)) {
--- a/tests/instance/fleet_world.h
+++ b/tests/instance/fleet_world.h
@@ -50,6 +50,8 @@
     void lose_frames(std::size_t from, std::size_t to, milliseconds length);
     void slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length);
     void pause(std::size_t index, milliseconds length);
+    /// The time of day of an instance jumps; it stays so after a restart.
+    void step_clock(std::size_t index, milliseconds by);
     void kill(std::size_t index, milliseconds until_start);
     /// Ends an instance for good; one at another address of its data centre starts later, if there is one.
     void replace(std::size_t index, milliseconds until_start);
