instance: an unexpected error costs one event, not the process

An exception in the handler of a request, peer message or answer ended the process with all its callers' jobs; the same message could end the next instance. None is known that throws, since every input is decoded with bounds; the handlers of events are now guarded all the same. The event is dropped, counted by kind (poplarshed_events_failed_total) and logged with the exception's text. Timers are not guarded: a state that fails there is not to be trusted.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <random>
 
+#include "instance/event_guard.h"
+
 namespace poplarshed::instance {
 
 namespace {
@@ -141,7 +143,7 @@
         const time_point now = boot_time_now();
         check_for_pause(now);
         for (core_event& event : batch) {
-            std::visit([this, now](auto& item) { handle(now, item); }, event);
+            handle_guarded(now, event);
         }
         m_timers.run(now);
         pump(now);
@@ -153,6 +155,20 @@
     m_log.event({severity::info, telemetry::category::process, "stopped", {}, {}});
 }
 
+void daemon::handle_guarded(time_point now, core_event& event)
+{
+    const auto failed =
+        failure_of([&] { std::visit([this, now](auto& item) { handle(now, item); }, event); });
+    if (failed) {
+        m_metrics.add(telemetry::events_failed, name_of(event));
+        m_log.event({severity::error,
+                     telemetry::category::process,
+                     "event dropped after an unexpected error",
+                     {},
+                     {{"event", std::string(name_of(event))}, {"error", *failed}}});
+    }
+}
+
 void daemon::refuse_remaining()
 {
     const caller_answer refusal = m_protocol.encode_refusal(refusal_reason::draining, milliseconds(100));
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -67,6 +67,10 @@
 inline constexpr counter_definition rows_skipped{"poplarshed_rows_skipped_total", "reason",
                                                  "Rows of workers' lists that were not used, by fault."};
 
+inline constexpr counter_definition events_failed{
+    "poplarshed_events_failed_total", "event",
+    "Requests, messages and answers that were dropped because their handler failed unexpectedly."};
+
 inline constexpr counter_definition log_lines_dropped{"poplarshed_log_lines_dropped_total", "",
                                                       "Log lines beyond the bound of the queue or rate."};
 
