--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -9,7 +9,6 @@
 // Processor need of a task whose job is no longer known, in thousandths of a core.
 constexpr std::int64_t unknown_job_cpu = 14'000;
 constexpr milliseconds one_way{1};
-constexpr milliseconds list_extra{120};
 constexpr milliseconds stop_time{50};
 constexpr std::int64_t max_lease_ms = 1000;
 // Maximum number of ends in one answer (platform protocol).
