--- a/tests/tools/lint_test.py
+++ b/tests/tools/lint_test.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -24,7 +25,7 @@
         self.m_root.mkdir()
         self.write(".clang-tidy", CONFIG)
         self.write("shared.h", "#pragma once\ninline int shared_value() { return 1; }\n")
-        self.write("first.cpp", '#include "shared.h"\nint first() { return shared_value(); }\n')
+        self.write("first.cpp", '#include <cstddef>\n#include "shared.h"\nint first() { return shared_value(); }\n')
         self.write("second.cpp", '#include "shared.h"\nint second() { return shared_value(); }\n')
         self.configure([])
 
@@ -33,7 +34,7 @@
 
     def configure(self, flags):
         commands = [{"directory": str(self.m_root), "file": str(self.m_root / name),
-                     "command": " ".join(["g++", *flags, "-c", name, "-o", name + ".o"])} for name in ("first.cpp", "second.cpp")]
+                     "command": " ".join(["g++", *flags, "-c", str(self.m_root / name), "-o", name + ".o"])} for name in ("first.cpp", "second.cpp")]
         self.write("compile_commands.json", json.dumps(commands))
 
     def lint(self):
@@ -87,9 +88,13 @@
 
     def test_a_clone_in_another_folder_uses_the_passes(self):
         self.expect_read(2)
-        self.m_root = self.m_root.rename(self.m_root.parent / "clone")
-        self.configure([])
-        self.expect_read(0)
+        # System headers sort before this folder and behind the first one.
+        with tempfile.TemporaryDirectory(dir="/var/tmp") as folder:
+            cache = self.m_root.parent / "cache"
+            self.m_root = pathlib.Path(shutil.copytree(self.m_root, pathlib.Path(folder) / "clone"))
+            shutil.copytree(cache, self.m_root.parent / "cache")
+            self.configure([])
+            self.expect_read(0)
 
     def test_a_file_that_cannot_be_preprocessed_is_read_and_fails(self):
         self.write("first.cpp", '#include "missing.h"\n')
