workers: take short jobs again when slow answers have ended

A pool adds twice the median answer time of its starts to its forecasts. After a slow time a pool that gets only short jobs refused all of them, sent no start and so never observed that answers were fast again: the callers would have been refused until the pool changed hands. Found by reading the change; the new test fails without this one (the short job is refused).

The observed time counts only while starts are on the way: without any, nothing keeps the path slow.

--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -166,7 +166,18 @@
 
 milliseconds pool::reporting_time() const
 {
-    return std::max(min_reporting_time, 2 * m_path.typical_answer_time());
+    const milliseconds observed = 2 * m_path.typical_answer_time();
+    const auto is_unanswered = [](const auto& entry) {
+        return !entry.second.first_list_with_run && !entry.second.stopping;
+    };
+    // Without starts on the way nothing keeps the path slow, and the answer times date from before. If they
+    // counted, short jobs could be refused for ever, since only further starts are observed.
+    const bool in_use = observed > min_reporting_time &&
+                        std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& worker) {
+                            const auto& runs = worker.second.runs;
+                            return std::any_of(runs.begin(), runs.end(), is_unanswered);
+                        });
+    return in_use ? observed : min_reporting_time;
 }
 
 std::size_t pool::unanswered_starts() const
--- a/tests/workers/command_path_test.cpp
+++ b/tests/workers/command_path_test.cpp
@@ -110,6 +110,24 @@
     BOOST_TEST(f.starts.size() <= sent);
 }
 
+// Guards against a pool that refuses short jobs for ever after a slow time: it observes answers only while it
+// starts tasks.
+BOOST_AUTO_TEST_CASE(short_jobs_are_taken_again_when_all_starts_are_answered)
+{
+    constexpr std::size_t workers = 20;
+    pool_fixture f(workers);
+    for (std::size_t i = 0; i < workers; ++i) {
+        f.list(i);
+    }
+    f.offer_job(pool_fixture::offer("slow", 32, milliseconds(2000)));
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 32U);
+    f.advance(milliseconds(300));
+    answer_starts(f);
+    f.offer_job(pool_fixture::offer("short", 1, milliseconds(60)));
+    BOOST_TEST(f.results.empty());
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
