instance: take an item again that a late list has dropped

An item that is missing in a list has no revision of a removal, so its own one was taken; a list that was answered before a peer's last changes then dropped a pool or layout record for good, since the watch brings it with that same revision. An instance without the layout record has no pools and refuses all jobs.

Only items older than the removal are ignored now. The new test fails without the change (the record stays away); directory_of_the_store passes, 13 cases, the worker that had left stays away.

--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -49,7 +49,7 @@
 bool directory::was_removed(const std::string& key, std::uint64_t revision) const
 {
     const auto removed = m_removed.find(key);
-    return removed != m_removed.end() && revision <= removed->second.content.revision;
+    return removed != m_removed.end() && revision < removed->second.content.revision;
 }
 
 bool directory::on_relay(time_point now, const workers::directory_push& push)
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -90,7 +90,7 @@
     /// @returns false if nothing but a sign of life has changed
     bool apply_worker(time_point now, const store_item& content);
     void remove(time_point now, const store_item& content);
-    /// True if an item was removed here at or after a revision.
+    /// True if an item was removed here after a revision.
     bool was_removed(const std::string& key, std::uint64_t revision) const;
     /// @param revision of the removal; 0 if unknown
     void drop(time_point now, const std::string& key, std::uint64_t revision = 0);
--- a/tests/users_platform/directory_test.cpp
+++ b/tests/users_platform/directory_test.cpp
@@ -183,6 +183,21 @@
     BOOST_TEST(f.follower.workers().size() == 2U);
 }
 
+// A list of the store that was answered before the last changes of a peer drops an item of theirs; the watch
+// brings it again. Guards against a layout or pool record that is taken for removed from then on.
+BOOST_AUTO_TEST_CASE(an_item_that_a_late_list_has_dropped_is_taken_again)
+{
+    fixture f;
+    const store_item layout{f.source.own().layout_key({data_centre_id("ollur"), service_id("s")}),
+                            instance::own_records::value(1), 7, false};
+    f.source.on_events(f.now, {layout});
+    f.pull();
+    f.follower.on_list(f.now, codec.own_prefix(), {});
+    BOOST_REQUIRE(!f.follower.contains(layout.key));
+    f.follower.on_events(f.now, {layout});
+    BOOST_TEST(f.follower.contains(layout.key));
+}
+
 // The source of a data centre is lost, and its followers take everything from an instance elsewhere that has
 // not learned of the last removals yet. Guards against a worker that has left and is used again.
 BOOST_AUTO_TEST_CASE(a_source_that_is_behind_brings_no_removed_worker_back)
