--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -25,6 +25,7 @@
 
 using command = std::variant<start_command, abandon_command>;
 
+// Only bounds a missed wake-up.
 constexpr milliseconds longest_wait{1000};
 constexpr std::size_t max_idle_handles = 512;
 // Above the connections of a full set of workers; libcurl closes the oldest idle connection beyond it.
--- a/source/http/socket_poller.h
+++ b/source/http/socket_poller.h
@@ -26,7 +26,7 @@
 
     /// Waits for these events of a socket from now on.
     void watch(int descriptor, bool read, bool write);
-    /// Ends the wait for a socket; also for one that is not watched or closed.
+    /// Ends the wait for a socket. Does nothing for one that is not watched.
     void forget(int descriptor);
     /// Ends a wait, or the next one. Any thread.
     void wake();
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -92,6 +92,8 @@
                         offer_number(19)},
         directory_pull{endpoint("127.0.0.1:5"), 11},
         directory_push{endpoint("127.0.0.1:4"), 11, 12, true, {{"servers/i-1", 13, "{}"}, {"k", 14, ""}}},
+        directory_pull{endpoint("127.0.0.1:5"), 0, true},
+        directory_push{endpoint("127.0.0.1:4"), 0, 0, false, {{"op/config", 13, "{}"}}, true},
     };
 }
 
