tests: two owners of a job whose request was on its way at a reset

Schedules in virtual time that reset every connection at both ends, of callers, between instances and to workers, once and in series, and callers whose request is read by the instance although its connection is reset, and who send it again at once (1 to 5 ms) through any instance. The existing schedules draw one broken caller or one lost link at a time, and callers that wait for 1,300 ms.

--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -17,6 +17,10 @@
 // Until an instance hears that a caller has left.
 constexpr milliseconds longest_notice{30};
 constexpr milliseconds greatest_resend_spread{400};
+// After a reset: until the instance reads the end of the connection, and until the caller's next request is
+// read.
+constexpr milliseconds longest_reset_notice{3};
+constexpr milliseconds greatest_reset_resend{5};
 // An instance that wakes reads the request first, and some turns later that its connection is closed; where
 // its share of a processor is a quota, up to a tenth of a second later.
 constexpr milliseconds greatest_read_lag{8};
@@ -146,7 +150,7 @@
     return instance;
 }
 
-void virtual_callers::leave_and_send_again(const std::string& id)
+virtual_callers::attempt virtual_callers::leave(const std::string& id)
 {
     job& item = m_jobs.at(id);
     const attempt left = *std::exchange(item.open, std::nullopt);
@@ -154,6 +158,42 @@
                         std::to_string(left.instance));
     m_left.emplace(left.caller, left);
     item.only_refused = false;
+    return left;
+}
+
+void virtual_callers::send_job_into_reset()
+{
+    const std::string id = add_drawn();
+    submit(id);
+    if (!m_jobs.at(id).open) {
+        return;
+    }
+    const attempt left = leave(id);
+    m_time.after(m_time.between({}, longest_reset_notice),
+                 [this, left] { m_events.leave(left.instance, left.caller, {}); });
+    ++m_resent;
+    submit_later(id, m_time.between(milliseconds(1), greatest_reset_resend));
+}
+
+void virtual_callers::reset_connections()
+{
+    for (const std::string& id : waiting()) {
+        const attempt left = leave(id);
+        m_time.after(m_time.between({}, longest_reset_notice),
+                     [this, left] { m_events.leave(left.instance, left.caller, {}); });
+        if (m_jobs.at(id).attempts < most_attempts) {
+            ++m_resent;
+            submit_later(id, resend_delay + m_time.between({}, greatest_resend_spread));
+        } else {
+            m_jobs.at(id).ended = true;
+        }
+    }
+}
+
+void virtual_callers::leave_and_send_again(const std::string& id)
+{
+    job& item = m_jobs.at(id);
+    const attempt left = leave(id);
     const milliseconds read_lag = m_time.between(
         milliseconds(1), m_time.chance(share_of_quota_lags) ? greatest_quota_lag : greatest_read_lag);
     m_time.after(m_time.between(milliseconds(1), longest_notice),
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -41,6 +41,11 @@
     /// The connection of one caller breaks at its end while the instance works on; it sends the job again
     /// through any instance. @returns the instance that it has left; nothing if no caller waits
     std::optional<std::size_t> break_one();
+    /// A job whose connection is reset while the request is on its way: the instance reads the request, and
+    /// the caller sends it again at once through any instance.
+    void send_job_into_reset();
+    /// The connections of all callers that wait are reset.
+    void reset_connections();
     /// From now on callers leave when the time limit of their request is over, and send the job again.
     void keep_own_time_limits() { m_own_time_limits = true; }
     void on_answer(std::size_t at, const routing::answer_caller& value);
@@ -81,6 +86,7 @@
     void check_refusal(const std::string& id);
     void check_time(const std::string& id, std::size_t at, const attempt& ended);
     void leave_and_send_again(const std::string& id);
+    attempt leave(const std::string& id);
     void leave_at_time_limit(const std::string& id, routing::caller_id caller);
     std::vector<std::string> waiting() const;
 
--- a/tests/instance/fleet_links.cpp
+++ b/tests/instance/fleet_links.cpp
@@ -12,8 +12,13 @@
 constexpr milliseconds longest_resend{150};
 constexpr milliseconds least_backoff{50};
 constexpr milliseconds greatest_backoff{400};
+// The first attempt after a connection that worked.
+constexpr milliseconds least_first_backoff{25};
+constexpr milliseconds greatest_first_backoff{60};
 // Between the two ends of a connection that notice a cut by their own time-outs.
 constexpr milliseconds close_spread{100};
+// Both ends of a connection that is reset.
+constexpr milliseconds reset_notice{3};
 
 }  // namespace
 
@@ -81,7 +86,7 @@
         m_time.after(user_timeout, [this, from, to, since = way.cut_since] {
             const direction& now = between(from, to);
             if (now.cut && now.cut_since == since) {
-                reset(from, to);
+                reset(from, to, close_spread);
             }
         });
     }
@@ -115,7 +120,7 @@
     way.lost_until = std::max(way.lost_until, m_time.now() + length);
 }
 
-void virtual_links::reset(std::size_t one, std::size_t other)
+void virtual_links::reset(std::size_t one, std::size_t other, milliseconds notice)
 {
     connection& link = of(one, other);
     ++link.number;
@@ -123,7 +128,7 @@
     between(other, one).held.clear();
     if (std::exchange(link.open, false)) {
         for (const auto& [at, peer] : {std::pair(one, other), std::pair(other, one)}) {
-            m_time.after(m_time.between({}, close_spread), [this, at = at, peer = peer] {
+            m_time.after(m_time.between({}, notice), [this, at = at, peer = peer] {
                 if (m_events.is_alive(at)) {
                     m_events.closed(at, peer);
                 }
@@ -133,13 +138,28 @@
     reconnect(one, other);
 }
 
+void virtual_links::reset_all()
+{
+    for (std::size_t one = 0; one < m_count; ++one) {
+        for (std::size_t other = one + 1; other < m_count; ++other) {
+            if (m_events.is_alive(one) && m_events.is_alive(other)) {
+                of(one, other).first_attempt = true;
+                reset(one, other, reset_notice);
+            }
+        }
+    }
+}
+
 void virtual_links::reconnect(std::size_t one, std::size_t other)
 {
     connection& link = of(one, other);
     if (std::exchange(link.reconnecting, true)) {
         return;
     }
-    m_time.after(m_time.between(least_backoff, greatest_backoff), [this, one, other] {
+    const bool first_attempt = std::exchange(link.first_attempt, false);
+    const milliseconds backoff = first_attempt ? m_time.between(least_first_backoff, greatest_first_backoff)
+                                               : m_time.between(least_backoff, greatest_backoff);
+    m_time.after(backoff, [this, one, other] {
         connection& now = of(one, other);
         now.reconnecting = false;
         const bool cut = between(one, other).cut || between(other, one).cut;
@@ -184,7 +204,7 @@
     for (std::size_t peer = 0; peer < m_count; ++peer) {
         if (peer != instance) {
             of(instance, peer).restarted = true;
-            reset(instance, peer);
+            reset(instance, peer, close_spread);
         }
     }
 }
--- a/tests/instance/fleet_links.h
+++ b/tests/instance/fleet_links.h
@@ -33,6 +33,8 @@
     void lose(std::size_t from, std::size_t to, milliseconds length);
     /// Frames of a direction take up to this much longer for a time.
     void slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length);
+    /// Connections between all instances are reset; what is on its way is lost.
+    void reset_all();
     /// The kernel may still send what the process had written, and ends its connections.
     void on_killed(std::size_t instance);
     void on_started(std::size_t instance);
@@ -59,7 +61,8 @@
         std::uint64_t number = 1;
         bool open = true;
         bool reconnecting = false;
-        bool restarted = false;  ///< an end is a new process
+        bool restarted = false;      ///< an end is a new process
+        bool first_attempt = false;  ///< to connect after a reset
     };
 
     direction& between(std::size_t from, std::size_t to) { return m_directions.at(from * m_count + to); }
@@ -67,7 +70,8 @@
     void write(std::size_t from, std::size_t to, frame item);
     void deliver(std::size_t from, std::size_t to, frame item, milliseconds delay);
     void heal(std::size_t from, std::size_t to);
-    void reset(std::size_t one, std::size_t other);
+    /// @param notice until both ends have noticed, at most
+    void reset(std::size_t one, std::size_t other, milliseconds notice);
     void reconnect(std::size_t one, std::size_t other);
 
     virtual_time& m_time;
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 // Workers write to the store each 500 ms; the store forgets one that has been silent three times as long.
+// Orders to workers that are sent meanwhile are on their way when the connections are reset.
+constexpr milliseconds reset_duration{2};
 constexpr milliseconds entry_lapse{1500};
 constexpr milliseconds greatest_wall_offset{2000};
 
@@ -125,6 +127,19 @@
     return events;
 }
 
+void virtual_fleet::reset_connections()
+{
+    m_time.note({}, "FAULT all connections are reset");
+    m_links.reset_all();
+    m_callers.reset_connections();
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        const order_faults before = m_workers.faults(i);
+        m_workers.faults(i).lost = 0.5;
+        m_workers.faults(i).late_answer = 0.5;
+        m_time.after(reset_duration, [this, i, before] { m_workers.faults(i) = before; });
+    }
+}
+
 std::optional<std::size_t> virtual_fleet::submit(std::optional<std::size_t> to, routing::caller_id caller,
                                                  const routing::route& target, const routing::caller_job& job)
 {
--- a/tests/instance/fleet_world.h
+++ b/tests/instance/fleet_world.h
@@ -49,6 +49,8 @@
     /// Frames in one direction are lost; the other one and new connections work.
     void lose_frames(std::size_t from, std::size_t to, milliseconds length);
     void slow_down(std::size_t from, std::size_t to, milliseconds extra, milliseconds length);
+    /// Every connection is reset at both ends: of callers, between instances, and to workers.
+    void reset_connections();
     void pause(std::size_t index, milliseconds length);
     /// The time of day of an instance jumps; it stays so after a restart.
     void step_clock(std::size_t index, milliseconds by);
