routing, workers: one holder orders the owners of a job

Cause: two instances have read the same request, since its connection was reset while it was on its way and the caller sent it again at once. Each chose a pool by its own load figures and its own data centre, and the pools know nothing of each other. What kept the tasks from running twice was that the first instance mostly reads the reset before it offers the job: a race that is mostly won. The class: two processes act on one permission, and nobody hands it out.

Change: for each job the holder of one pool, chosen by the job's id among the pools whose holders' statuses have not timed out, admits one owner at a time. An owner that prefers this pool offers the job there as before; otherwise it asks for the order first (an offer that is returned at once) and starts nothing until the answer. A job whose runs are still being stopped in the ordering pool stays there. An owner that gets no answer repeats the request, and ends the job as unknown, not as refused, when it can no longer be useful. Closed connections don't change who is asked, because instances see them close at different moments; statuses that have timed out do.

Ruled out: a longer wait before offers, or one more question to the kernel, which move the race but don't end it; the store as the arbiter, which would be on the path of each job, away in outages and near its limit of writes on large sites.

Instances of the former release neither ask nor are asked (statuses say who orders owners).

--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -165,6 +165,7 @@
     status.directory_sequence = m_directory.sequence();
     status.pools = m_pools.loads(now);
     status.clock = workers::clock_reading(now);
+    status.orders_owners = true;
     return status;
 }
 
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -16,7 +16,7 @@
     entry.silent_since = now;
     entry.reported_unreachable = false;
     entry.disconnected = false;
-    m_holders_at.reset();
+    clear_indices();
 }
 
 void peer_table::on_disconnected(const endpoint& address)
@@ -24,7 +24,7 @@
     const auto found = m_peers.find(address);
     if (found != m_peers.end()) {
         found->second.disconnected = true;
-        m_holders_at.reset();
+        clear_indices();
     }
 }
 
@@ -37,7 +37,7 @@
             unreachable.push_back(address);
         }
     }
-    m_holders_at.reset();
+    clear_indices();
     std::erase_if(m_peers, [now](const auto& entry) {
         return now - entry.second.last_status_at > peer_retention_time;
     });
@@ -125,19 +125,24 @@
     });
 }
 
+void peer_table::clear_indices()
+{
+    m_holders.at.reset();
+    m_expected_holders.at.reset();
+}
+
 const peer_table::holder_index& peer_table::holders(time_point now) const
 {
-    if (m_holders_at == now) {
-        return m_holders;
+    if (m_holders.at == now) {
+        return m_holders.holders;
     }
-    m_holders.clear();
-    m_holders_at = now;
+    m_holders = {{}, now};
     for (const auto& [from, entry] : m_peers) {
         if (!entry.is_live(now)) {
             continue;
         }
         for (const workers::pool_load& load : entry.status.pools) {
-            pool_holder& best = m_holders[load.pool];
+            pool_holder& best = m_holders.holders[load.pool];
             const bool better = best.load == nullptr || (best.peer->leaving && !entry.status.leaving) ||
                                 (best.peer->leaving == entry.status.leaving && best.load->token < load.token);
             if (better) {
@@ -145,7 +150,27 @@
             }
         }
     }
-    return m_holders;
+    return m_holders.holders;
+}
+
+const peer_table::holder_index& peer_table::expected_holders(time_point now) const
+{
+    if (m_expected_holders.at == now) {
+        return m_expected_holders.holders;
+    }
+    m_expected_holders = {{}, now};
+    for (const auto& [from, entry] : m_peers) {
+        if (entry.has_timed_out(now)) {
+            continue;
+        }
+        for (const workers::pool_load& load : entry.status.pools) {
+            pool_holder& best = m_expected_holders.holders[load.pool];
+            if (best.load == nullptr || best.load->token < load.token) {
+                best = {&entry.status, &load};
+            }
+        }
+    }
+    return m_expected_holders.holders;
 }
 
 const workers::pool_load* peer_table::holder(time_point now, const pool_id& pool, endpoint& address) const
@@ -170,4 +195,15 @@
     }
 }
 
+void peer_table::for_each_expected_holder(
+    time_point now, const service_id& service,
+    const std::function<void(const workers::instance_status&, const workers::pool_load&)>& visit) const
+{
+    for (const auto& [pool, best] : expected_holders(now)) {
+        if (best.load->service == service) {
+            visit(*best.peer, *best.load);
+        }
+    }
+}
+
 }  // namespace poplarshed::routing
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -45,10 +45,9 @@
             return std::max(status.next_status_within, min_status_interval) + status_timeout_margin;
         }
 
-        bool is_live(time_point now) const
-        {
-            return !disconnected && now - last_status_at <= status_timeout();
-        }
+        bool has_timed_out(time_point now) const { return now - last_status_at > status_timeout(); }
+
+        bool is_live(time_point now) const { return !disconnected && !has_timed_out(now); }
     };
 
     explicit peer_table(endpoint self, data_centre_id data_centre);
@@ -85,6 +84,12 @@
     void for_each_pool(
         time_point now, const service_id& service,
         const std::function<void(const workers::instance_status&, const workers::pool_load&)>& visit) const;
+    /// The same for the holders that all instances expect: one whose connection was closed counts until its
+    /// statuses time out, and a leaving one like any other. Instances see connections close at different
+    /// moments.
+    void for_each_expected_holder(
+        time_point now, const service_id& service,
+        const std::function<void(const workers::instance_status&, const workers::pool_load&)>& visit) const;
     /// Address of this instance. Its own status is in the table like a peer's.
     const endpoint& self() const { return m_self; }
     const data_centre_id& data_centre() const { return m_data_centre; }
@@ -97,15 +102,22 @@
     };
     using holder_index = std::map<pool_id, pool_holder>;
 
-    /// The holder of each pool. Needed several times for each job, so the index is cached until a status
-    /// arrives or `now` changes.
+    /// Cached until a status arrives or `now` changes, because it is needed several times for each job.
+    struct cached_index {
+        holder_index holders;
+        std::optional<time_point> at;
+    };
+
+    /// The holder of each pool.
     const holder_index& holders(time_point now) const;
+    const holder_index& expected_holders(time_point now) const;
+    void clear_indices();
 
     endpoint m_self;
     data_centre_id m_data_centre;
     std::map<endpoint, peer> m_peers;
-    mutable holder_index m_holders;
-    mutable std::optional<time_point> m_holders_at;
+    mutable cached_index m_holders;
+    mutable cached_index m_expected_holders;
 };
 
 }  // namespace poplarshed::routing
--- a/source/routing/pool_choice.cpp
+++ b/source/routing/pool_choice.cpp
@@ -44,4 +44,19 @@
     return chosen;
 }
 
+std::optional<std::size_t> choose_ordering_pool(std::span<const pool_id> pools, const job_id& job)
+{
+    std::optional<std::size_t> chosen;
+    std::uint64_t best = 0;
+    for (std::size_t i = 0; i < pools.size(); ++i) {
+        // Instances of different builds must agree, which std::hash does not promise.
+        const std::uint64_t score = digest::of(job.value() + '#' + pools[i].value()).prefix();
+        if (!chosen || score > best) {
+            best = score;
+            chosen = i;
+        }
+    }
+    return chosen;
+}
+
 }  // namespace poplarshed::routing
--- a/source/routing/pool_choice.h
+++ b/source/routing/pool_choice.h
@@ -27,4 +27,9 @@
 /// @returns index of the pool; nothing without candidates
 std::optional<std::size_t> choose_pool(std::span<const pool_candidate> candidates, const job_id& job);
 
+/// Chooses the pool whose holder orders the owners of a job. The same for all instances that know the same
+/// pools, whatever their load.
+/// @returns index of the pool; nothing without pools
+std::optional<std::size_t> choose_ordering_pool(std::span<const pool_id> pools, const job_id& job);
+
 }  // namespace poplarshed::routing
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -27,10 +27,12 @@
 // Before a lost job starts elsewhere, time for a cancel to take effect: a busy holder handles it within 50
 // ms, the stop order to the worker may be sent twice (100 ms each), and the worker stops a run within 50 ms.
 constexpr milliseconds cancel_time{300};
+// A request of the order may be lost with a connection. Longer than the answer takes between data centres.
+constexpr milliseconds order_retry_interval{30};
 
 constexpr std::array<std::string_view, routing_decision_count> decision_names{
-    "offered",  "offered_again", "offered_elsewhere", "waits_for_lapse",
-    "answered", "caller_left",   "result_ignored",    "given_back"};
+    "offered",     "offered_again",  "offered_elsewhere", "waits_for_lapse", "answered",
+    "caller_left", "result_ignored", "given_back",        "order_requested", "superseded"};
 
 // Kind and reason of an answer; completed jobs have no reason.
 std::string answer_text(answer_kind kind, refusal_reason reason)
@@ -78,6 +80,7 @@
     switch (record.decision) {
         case routing_decision::offered:
         case routing_decision::offered_elsewhere:
+        case routing_decision::order_requested:
             return true;
         case routing_decision::answered:
             return record.detail == answer_text(answer_kind::completed, {});
@@ -190,25 +193,134 @@
         pending_job.offer.returns = last_return;
         chosen = choose(now, pending_job);
     }
+    const auto ordering = ordering_pool(now, pending_job);
     if (!chosen) {
         return false;
     }
     m_holder_expected_until = now + m_options.max_holder_absence;
+    const bool admitted =
+        !ordering || (pending_job.admitted && pending_job.ordering_holder == ordering->holder);
+    if (!admitted && chosen->pool != ordering->pool) {
+        request_order(now, pending_job, *ordering, decision);
+        return true;
+    }
     send_offer(now, pending_job, *chosen, decision);
     return true;
 }
 
-void router::send_offer(time_point now, job& pending_job, const choice& chosen, routing_decision decision)
+std::optional<router::pool_at> router::ordering_pool(time_point now, const job& pending_job) const
+{
+    std::vector<pool_id> pools;
+    std::vector<endpoint> holders;
+    m_peers.for_each_expected_holder(
+        now, pending_job.offer.service,
+        [&](const workers::instance_status& status, const workers::pool_load& load) {
+            if (status.orders_owners) {
+                pools.push_back(load.pool);
+                holders.push_back(status.address);
+            }
+        });
+    const auto chosen = choose_ordering_pool(pools, pending_job.offer.job);
+    return chosen ? std::optional(pool_at{pools.at(*chosen), holders.at(*chosen)}) : std::nullopt;
+}
+
+bool router::awaits_order(const job& pending_job)
 {
-    pending_job.holder = chosen.holder;
-    pending_job.offer.pool = chosen.pool;
+    return !pending_job.holder.empty() && pending_job.offer.order == workers::owner_order::only;
+}
+
+void router::prepare_message(time_point now, job& pending_job, const pool_at& at)
+{
+    pending_job.holder = at.holder;
+    pending_job.offer.pool = at.pool;
     pending_job.offer.age = elapsed(now, pending_job.arrived);
     pending_job.offer.number = workers::offer_number(++m_last_offer);
+    if (pending_job.offer.attempt == workers::offer_number()) {
+        pending_job.offer.attempt = pending_job.offer.number;
+    }
     pending_job.offer.echoed_clock = m_peers.clock(pending_job.holder);
     pending_job.offered_at = now;
     record_grant(now, pending_job);
     pending_job.lost = false;
     pending_job.cancelled_at.reset();
+}
+
+void router::request_order(time_point now, job& pending_job, const pool_at& at, routing_decision decision)
+{
+    if (pending_job.ordering_holder != at.holder) {
+        release_order(pending_job);
+    }
+    pending_job.admitted = false;
+    pending_job.ordering_holder = at.holder;
+    pending_job.decision_after_order = decision;
+    pending_job.offer.order = workers::owner_order::only;
+    prepare_message(now, pending_job, at);
+    send_order_request(now, pending_job);
+    m_actions.emplace_back(routing_record{routing_decision::order_requested,
+                                          pending_job.offer.job,
+                                          at.holder,
+                                          at.pool.value(),
+                                          {},
+                                          m_peers.status_age(now, at.holder).value_or(milliseconds(0)),
+                                          pending_job.offer.number});
+}
+
+void router::send_order_request(time_point now, job& pending_job)
+{
+    pending_job.order_sent = now;
+    pending_job.offer.age = elapsed(now, pending_job.arrived);
+    pending_job.offer.echoed_clock = m_peers.clock(pending_job.holder);
+    m_actions.emplace_back(send_to_holder{pending_job.holder, pending_job.offer});
+}
+
+void router::check_order(time_point now, const job_id& id)
+{
+    job& pending_job = m_jobs.at(id);
+    const auto ordering = ordering_pool(now, pending_job);
+    if (!ordering || ordering->holder != pending_job.holder || ordering->pool != pending_job.offer.pool) {
+        m_actions.emplace_back(send_to_holder{pending_job.holder, cancel_of(pending_job)});
+        find_holder(now, id, routing_decision::offered);
+        return;
+    }
+    if (now < pending_job.order_sent + order_retry_interval) {
+        return;
+    }
+    if (may_still_start(now, pending_job)) {
+        send_order_request(now, pending_job);
+    } else {
+        // The holder may have kept the job, and may have started it by now.
+        give_up(now, id, refusal_reason::timed_out);
+    }
+}
+
+void router::keep_at_ordering_holder(job& pending_job)
+{
+    pending_job.offer.order = workers::owner_order::here;
+    pending_job.offered = true;
+}
+
+void router::release_order(const job& pending_job)
+{
+    if (pending_job.admitted || awaits_order(pending_job)) {
+        m_actions.emplace_back(
+            send_to_holder{pending_job.ordering_holder,
+                           workers::job_cancel{pending_job.offer.job, m_peers.self(),
+                                               pending_job.offer.attempt, !pending_job.offered}});
+    }
+}
+
+void router::send_offer(time_point now, job& pending_job, const choice& chosen, routing_decision decision)
+{
+    const auto ordering = ordering_pool(now, pending_job);
+    const bool orders = ordering && ordering->pool == chosen.pool && ordering->holder == chosen.holder;
+    if (orders && pending_job.ordering_holder != chosen.holder) {
+        release_order(pending_job);
+        pending_job.ordering_holder = chosen.holder;
+    }
+    pending_job.admitted = pending_job.admitted && !orders;
+    pending_job.offered = true;
+    pending_job.offer.order = orders ? workers::owner_order::here : workers::owner_order::elsewhere;
+    prepare_message(now, pending_job, {chosen.pool, chosen.holder});
     const workers::job_demand need = demand_of(pending_job.offer.steps);
     sent_work& sent = m_sent_work[chosen.holder][chosen.pool];
     sent.cpu += need.cpu;
@@ -245,6 +357,9 @@
             record_grant(now, pending_job);
             status.offers.push_back(pending_job.offer.number);
         }
+        if (pending_job.ordering_holder == to) {
+            status.offers.push_back(pending_job.offer.attempt);
+        }
     }
     std::sort(status.offers.begin(), status.offers.end());
 }
@@ -260,14 +375,24 @@
 void router::wait_for_holder(time_point now, const job_id& id)
 {
     job& pending_job = m_jobs.at(id);
-    const milliseconds chain = workers::critical_path(pending_job.offer.steps);
-    const time_point latest_start =
-        pending_job.arrived + pending_job.offer.objective * workers::max_objective_multiple - chain;
-    if (now < std::min({m_holder_expected_until, latest_start, pending_job.deadline_at - chain})) {
+    if (now < m_holder_expected_until && may_still_start(now, pending_job)) {
         pending_job.holder = endpoint();
         return;
     }
-    if (pending_job.offer.may_have_run) {
+    end_unstarted(now, id);
+}
+
+bool router::may_still_start(time_point now, const job& pending_job)
+{
+    const milliseconds chain = workers::critical_path(pending_job.offer.steps);
+    const time_point latest_start =
+        pending_job.arrived + pending_job.offer.objective * workers::max_objective_multiple - chain;
+    return now < std::min(latest_start, pending_job.deadline_at - chain);
+}
+
+void router::end_unstarted(time_point now, const job_id& id)
+{
+    if (m_jobs.at(id).offer.may_have_run) {
         give_up(now, id, refusal_reason::no_runners);
         return;
     }
@@ -314,6 +439,7 @@
     if (!pending_job.holder.empty()) {
         m_actions.emplace_back(send_to_holder{pending_job.holder, cancel_of(pending_job)});
     }
+    release_order(pending_job);
     m_jobs.erase(id);
     m_callers.erase(found);
 }
@@ -324,6 +450,9 @@
     if (found == m_jobs.end()) {
         return;
     }
+    if (awaits_order(found->second)) {
+        keep_at_ordering_holder(found->second);
+    }
     auto& done = found->second.offer.done_tasks;
     done.insert(done.end(), progress.done_tasks.begin(), progress.done_tasks.end());
 }
@@ -342,6 +471,19 @@
         answer(now, result.job, answer_kind::completed, result.reason, {});
         return;
     }
+    const bool ordered = result.end == workers::job_end::gave_up && from == pending_job.ordering_holder &&
+                         result.number == pending_job.offer.attempt;
+    if (ordered && (pending_job.holder != from || pending_job.offer.number != result.number)) {
+        m_actions.emplace_back(routing_record{routing_decision::superseded,
+                                              result.job,
+                                              from,
+                                              "sent again through another instance",
+                                              elapsed(now, pending_job.arrived),
+                                              {},
+                                              result.number});
+        give_up(now, result.job, result.reason);
+        return;
+    }
     // A delayed result may belong to an earlier offer of the job, even to the same holder. An earlier release
     // sends neither offer numbers nor its clock.
     const bool numbered = result.number != workers::offer_number() || m_peers.clock(from).count() > 0;
@@ -382,6 +524,13 @@
 void router::on_returned(time_point now, const workers::job_result& result)
 {
     job& pending_job = m_jobs.at(result.job);
+    const bool was_order = awaits_order(pending_job);
+    pending_job.admitted = pending_job.admitted || pending_job.offer.order != workers::owner_order::elsewhere;
+    if (was_order) {
+        pending_job.holder = endpoint();
+        find_holder(now, result.job, pending_job.decision_after_order);
+        return;
+    }
     ++pending_job.offer.returns;
     pending_job.returned_by.push_back(pending_job.offer.pool);
     if (!may_offer(now)) {
@@ -402,6 +551,12 @@
                                           {},
                                           result.number,
                                           result.uncertain_tasks});
+    if (awaits_order(pending_job)) {
+        if (!result.may_have_run) {
+            return;  // the request is repeated, until the statuses show where the pool is
+        }
+        keep_at_ordering_holder(pending_job);
+    }
     if (!result.may_have_run && !pending_job.offer.may_have_run) {
         pending_job.returned_by.clear();
         find_holder(now, result.job, routing_decision::offered_elsewhere);
@@ -465,6 +620,7 @@
 {
     const auto found = m_jobs.find(id);
     const milliseconds waited = elapsed(now, found->second.arrived);
+    release_order(found->second);
     m_actions.emplace_back(answer_caller{found->second.caller, id, kind, reason, retry_after,
                                          found->second.offer.service, waited});
     m_actions.emplace_back(routing_record{
@@ -543,7 +699,7 @@
 {
     m_no_offers_until = now + m_options.offer_delay_after_pause;
     for (auto& [id, pending_job] : m_jobs) {
-        if (!pending_job.holder.empty() && !pending_job.lost) {
+        if (!pending_job.holder.empty() && !pending_job.lost && !awaits_order(pending_job)) {
             pending_job.lost = true;
             pending_job.lost_at = now;
         }
@@ -564,6 +720,8 @@
         }
         if (m_jobs.at(id).holder.empty()) {
             find_holder(now, id, routing_decision::offered);
+        } else if (awaits_order(m_jobs.at(id))) {
+            check_order(now, id);
         } else {
             check_holder(now, id);
         }
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -49,10 +49,12 @@
     waits_for_lapse,    ///< the holder is lost; its leases must expire before the job can start elsewhere
     answered,
     caller_left,
-    result_ignored,  ///< the result belongs to an earlier offer
-    given_back,      ///< the holder does not hold the pool, or has dropped the job
+    result_ignored,   ///< the result belongs to an earlier offer
+    given_back,       ///< the holder does not hold the pool, or has dropped the job
+    order_requested,  ///< of the holder that orders the owners of the job
+    superseded,       ///< the caller has sent the job again through another instance
 };
-inline constexpr std::size_t routing_decision_count = 8;
+inline constexpr std::size_t routing_decision_count = 10;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(routing_decision value);
@@ -138,6 +140,18 @@
         /// finished tasks remove an entry: a later holder need not know of the runs of an earlier one.
         std::map<std::uint32_t, time_point> possible_runs;
         std::vector<pool_id> returned_by;  ///< pools that have returned the job
+        /// Holder that was last asked to admit this instance as the owner of the job; empty if none was.
+        endpoint ordering_holder;
+        bool admitted = false;  ///< the ordering holder has returned the job
+        bool offered = false;   ///< to a holder that may start it
+        time_point order_sent;  ///< last request of the order
+        routing_decision decision_after_order = routing_decision::offered;
+    };
+
+    /// A pool and the instance that holds it.
+    struct pool_at {
+        pool_id pool;
+        endpoint holder;
     };
 
     struct choice {
@@ -153,6 +167,21 @@
     /// False for a short time after a pause of this process.
     bool may_offer(time_point now) const { return now >= m_no_offers_until; }
     bool offer(time_point now, job& pending_job, routing_decision decision);
+    /// The pool whose holder orders the owners of a job, so that two instances that have read the same
+    /// request do not both start it.
+    std::optional<pool_at> ordering_pool(time_point now, const job& pending_job) const;
+    /// True while the job waits for the answer of the holder that orders its owners; nothing is started.
+    static bool awaits_order(const job& pending_job);
+    void request_order(time_point now, job& pending_job, const pool_at& at, routing_decision decision);
+    void send_order_request(time_point now, job& pending_job);
+    /// Repeats an unanswered request of the order, or sends it to another holder.
+    void check_order(time_point now, const job_id& id);
+    /// The holder that was only asked for the order has kept the job, whose runs have not ended there.
+    static void keep_at_ordering_holder(job& pending_job);
+    /// Tells the ordering holder that this instance works on the job no longer.
+    void release_order(const job& pending_job);
+    /// Sets what all offers of a job to a holder contain.
+    void prepare_message(time_point now, job& pending_job, const pool_at& at);
     void send_offer(time_point now, job& pending_job, const choice& chosen, routing_decision decision);
     void answer(time_point now, const job_id& id, answer_kind kind, refusal_reason reason,
                 milliseconds retry_after);
@@ -160,6 +189,10 @@
     void find_holder(time_point now, const job_id& id, routing_decision decision);
     /// Keeps the job without a holder, or ends it if no holder is expected in time.
     void wait_for_holder(time_point now, const job_id& id);
+    /// False when the job can no longer end in useful time.
+    static bool may_still_start(time_point now, const job& pending_job);
+    /// Answers the caller of a job that this instance cannot have started now.
+    void end_unstarted(time_point now, const job_id& id);
     void on_returned(time_point now, const workers::job_result& result);
     void on_not_held(time_point now, const workers::job_result& result);
     workers::job_cancel cancel_of(const job& pending_job) const;
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -88,10 +88,11 @@
     const auto done = out.CreateVector(value.done_tasks);
     const auto owner = pack(out, value.owner);
     const auto uncertain = out.CreateVector(value.uncertain_tasks);
-    return fb::Createpool_offer(
-        out, job, pool, service, payload, steps, value.priority, value.max_attempts, value.age.count(),
-        value.objective.count(), value.deadline.count(), value.returns, value.may_have_run, done, owner,
-        uncertain, value.uncertain_for.count(), value.number.value(), value.echoed_clock.count());
+    return fb::Createpool_offer(out, job, pool, service, payload, steps, value.priority, value.max_attempts,
+                                value.age.count(), value.objective.count(), value.deadline.count(),
+                                value.returns, value.may_have_run, done, owner, uncertain,
+                                value.uncertain_for.count(), value.number.value(), value.echoed_clock.count(),
+                                static_cast<std::uint8_t>(value.order), value.attempt.value());
 }
 
 std::optional<workers::job_offer> unpack(const fb::pool_offer& table)
@@ -115,6 +116,11 @@
     value.uncertain_for = milliseconds(table.uncertain_for_ms());
     value.number = workers::offer_number(table.number());
     value.echoed_clock = milliseconds(table.echo_ms());
+    if (table.order() >= workers::owner_order_count) {
+        return std::nullopt;
+    }
+    value.order = static_cast<workers::owner_order>(table.order());
+    value.attempt = workers::offer_number(table.attempt());
     return valid(value.steps) ? std::optional(std::move(value)) : std::nullopt;
 }
 
@@ -154,13 +160,13 @@
 flatbuffers::Offset<fb::pool_cancel> pack(builder& out, const workers::job_cancel& value)
 {
     const auto job = pack(out, value.job);
-    return fb::Createpool_cancel(out, job, pack(out, value.owner), value.number.value());
+    return fb::Createpool_cancel(out, job, pack(out, value.owner), value.number.value(), value.never_offered);
 }
 
 std::optional<workers::job_cancel> unpack(const fb::pool_cancel& table)
 {
     return workers::job_cancel{workers::job_id(table.job()->str()), endpoint(table.owner()->str()),
-                               workers::offer_number(table.number())};
+                               workers::offer_number(table.number()), table.never_offered()};
 }
 
 flatbuffers::Offset<fb::instance_status> pack(builder& out, const workers::instance_status& value)
@@ -177,7 +183,7 @@
                                      value.configuration_version, value.directory_sequence, pools,
                                      value.cpu_milli, value.next_status_within.count(),
                                      value.directory_source, value.clock.count(), value.echoed_clock.count(),
-                                     out.CreateVector(offers), value.last_offer.value());
+                                     out.CreateVector(offers), value.last_offer.value(), value.orders_owners);
 }
 
 std::optional<workers::instance_status> unpack(const fb::instance_status& table)
@@ -202,7 +208,8 @@
         milliseconds(table.clock_ms()),
         milliseconds(table.echo_ms()),
         std::move(offers),
-        workers::offer_number(table.last_offer())};
+        workers::offer_number(table.last_offer()),
+        table.orders_owners()};
 }
 
 flatbuffers::Offset<fb::directory_pull> pack(builder& out, const workers::directory_pull& value)
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -162,6 +162,34 @@
         time_point ejected_until;
     };
 
+    /// Owner that this pool has admitted for a job that may run in another pool.
+    struct admitted_owner {
+        endpoint owner;
+        offer_number attempt;
+        time_point arrived;      ///< the caller's request
+        time_point deadline_at;  ///< the owner gives the job up by then
+        /// Set when the owner has given the job up: its runs have ended by then.
+        std::optional<time_point> runs_ended_at;
+    };
+
+    // Owners of jobs
+    /// Orders the owners of a job that may run in another pool.
+    /// @returns true if the offer needs no more
+    bool order_owners(time_point now, const endpoint& owner, const job_offer& offer);
+    /// Tells an owner to give the job up.
+    void notify_superseded(const endpoint& owner, const job_id& id, offer_number number);
+    /// Returns a job to its owner, which may have it started in another pool.
+    void pass_on(const job_record& job);
+    void admit_owner(const endpoint& owner, const job_offer& offer, time_point arrived);
+    /// The owner works on the job no longer.
+    void release_owner(time_point now, const job_id& id, admitted_owner& admitted, std::string_view cause);
+    void release_withdrawn_owners(time_point now, const active_offers& offers);
+    void release_lost_owner(time_point now, const endpoint& owner);
+    void forget_released_owners(time_point now);
+    /// True while runs of a job that was dropped here may still be active on the workers of this pool.
+    bool may_run_here(const job_id& id) const;
+    /// True while another owner of the job, or its runs, may be active in another pool.
+    bool has_other_owner(const job_record& job) const;
     // Jobs
     job_record* find_job(const job_id& id);
     static void set_times(time_point now, job_record& job, const job_offer& offer);
@@ -262,6 +290,7 @@
     bool m_window_full = false;  ///< tasks wait for the answers to earlier starts
     std::map<worker_id, worker_record> m_workers;
     std::unordered_map<job_id, std::unique_ptr<job_record>> m_jobs;
+    std::unordered_map<job_id, admitted_owner> m_admitted_owners;
     std::map<task_ref, time_point> m_orphan_ends;  ///< finished before their job was claimed
     std::vector<pool_load> m_other_pools;
     std::map<job_id, std::vector<std::uint32_t>> m_finished_tasks;
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -57,7 +57,9 @@
 {
     const auto granted = grant_expiry(now, offer.echoed_clock);
     job_record* const known = find_job(offer.job);
-    if (!granted || (known == nullptr && *granted < now + min_new_grant)) {
+    // An order says who may start the job, and is no permission itself.
+    const bool order_only = known == nullptr && offer.order == owner_order::only;
+    if (!order_only && (!granted || (known == nullptr && *granted < now + min_new_grant))) {
         record(decision::offer_expired, offer.job, {}, owner.value(), clock_reading(now) - offer.echoed_clock,
                offer_validity);
         job_result answer;
@@ -78,10 +80,13 @@
         on_known_offer(now, *known, owner, offer, *granted);
         return;
     }
+    if (order_owners(now, owner, offer)) {
+        return;
+    }
     auto created = std::make_unique<job_record>();
     job_record& job = *created;
     job.owner = owner;
-    job.granted_until = *granted;
+    job.granted_until = granted.value_or(now);
     set_times(now, job, offer);
     for (const job_step& step : offer.steps) {
         job.first_task.push_back(static_cast<std::uint32_t>(job.tasks.size()));
@@ -97,9 +102,19 @@
         mark_done(job, number);
     }
     adopt_runs(now, job);
+    // Tasks may have been started for a former owner, so a refusal would not be true, and the job must not
+    // move to another pool.
+    job.started = job.started || may_run_here(job.offer.job);
+    if (has_other_owner(job)) {
+        job.started = true;
+        record(decision::awaits_owner, job.offer.job, {}, owner.value());
+    }
     if (!job.started && !admit(now, job)) {
         return;
     }
+    if (job.offer.order == owner_order::only) {
+        notify_owner(owner, job_progress{job.offer.job, {}});
+    }
     const job_id id = job.offer.job;
     m_jobs.emplace(id, std::move(created));
     finish_if_done(now, id);
@@ -119,6 +134,9 @@
 void pool::on_known_offer(time_point now, job_record& job, const endpoint& owner, const job_offer& offer,
                           time_point granted)
 {
+    if (offer.order == owner_order::only) {
+        notify_owner(owner, job_progress{offer.job, {}});
+    }
     if (job.owner == owner && !(job.offer.number < offer.number)) {
         return;
     }
@@ -233,7 +251,7 @@
             if (other_finish && *other_finish + min_transfer_gain < *predicted) {
                 record(decision::returned_to_owner, job.offer.job, {}, other.pool.value(), *predicted,
                        *other_finish);
-                notify_owner(job.owner, make_result(job, job_end::returned));
+                pass_on(job);
                 return false;
             }
         }
@@ -317,7 +335,7 @@
     }
     for (const job_id& id : moved) {
         record(decision::returned_to_owner, id, {}, "another pool has room");
-        notify_owner(find_job(id)->owner, make_result(*find_job(id), job_end::returned));
+        pass_on(*find_job(id));
         m_jobs.erase(id);
     }
 }
@@ -386,6 +404,7 @@
 
 void pool::on_active_offers(time_point now, const active_offers& offers)
 {
+    release_withdrawn_owners(now, offers);
     const auto granted = grant_expiry(now, offers.echoed_clock);
     std::vector<job_id> withdrawn;
     for (const auto& [id, job] : m_jobs) {
@@ -444,6 +463,16 @@
 
 void pool::on_cancel(time_point now, const job_cancel& cancel)
 {
+    const auto admitted = m_admitted_owners.find(cancel.job);
+    if (admitted != m_admitted_owners.end() && admitted->second.owner == cancel.owner &&
+        admitted->second.attempt == cancel.number) {
+        if (cancel.never_offered) {
+            m_admitted_owners.erase(admitted);
+            schedule(now);
+        } else {
+            release_owner(now, cancel.job, admitted->second, "cancelled");
+        }
+    }
     const job_record* job = find_job(cancel.job);
     if (job != nullptr && job->owner == cancel.owner && !(cancel.number < job->offer.number)) {
         drop_job(now, cancel.job, "cancelled");
@@ -453,6 +482,7 @@
 
 void pool::on_owner_lost(time_point now, const endpoint& owner)
 {
+    release_lost_owner(now, owner);
     std::vector<job_id> lost;
     for (const auto& [id, job] : m_jobs) {
         if (job->owner == owner) {
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -575,6 +575,7 @@
         return;
     }
     expire_grants(now);
+    forget_released_owners(now);
     const time_point listed_since = lists_needed_since(now);
     for (auto& [id, worker] : m_workers) {
         check_runs(now, worker);
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -217,7 +217,7 @@
     m_window_full = window == 0;
     for (job_record* job : waiting_in_order(now)) {
         // The owner may assign the job to another holder some time after the grant has expired.
-        if (now > job->granted_until) {
+        if (now > job->granted_until || has_other_owner(*job)) {
             continue;
         }
         const bool former_runs_known =
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -10,7 +10,8 @@
     "admitted",      "refused_no_worker", "refused_too_late", "returned_to_owner", "started",
     "start_failed",  "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
     "worker_silent", "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
-    "fenced",        "offer_expired",     "grant_ended",      "owner_superseded"};
+    "fenced",        "offer_expired",     "grant_ended",      "owner_superseded",  "owner_admitted",
+    "awaits_owner"};
 
 constexpr std::array<std::string_view, run_end_count> run_end_names{"done",   "failed",     "stopped",
                                                                     "lapsed", "peer_ended", "peers_missing"};
@@ -40,6 +41,7 @@
     switch (record.kind) {
         case decision::admitted:
         case decision::started:
+        case decision::owner_admitted:
             return true;
         case decision::run_ended:
             return record.detail == to_string(run_end::done);
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -73,6 +73,15 @@
     bool operator==(const job_step&) const = default;
 };
 
+/// Part of a holder in ordering the owners of a job. A caller may have sent the job through several
+/// instances; one holder, the same for all of them, admits one owner at a time.
+enum class owner_order : std::uint8_t {
+    elsewhere,  ///< another holder has admitted the owner, or the owner is of a former release
+    here,       ///< the holder admits the owner and may start the job
+    only,       ///< the holder admits the owner and returns the job, which then starts in another pool
+};
+inline constexpr std::size_t owner_order_count = 3;
+
 /// Offer of a job to a pool. Times are relative to the message that carries it.
 struct job_offer {
     job_id job;
@@ -94,6 +103,8 @@
     std::vector<std::uint32_t> done_tasks;  ///< global numbers of finished tasks
     offer_number number{};                  ///< of this offer; each further offer of the job has a new number
     milliseconds echoed_clock{};            ///< latest clock reading of the holder that the owner received
+    owner_order order = owner_order::elsewhere;
+    offer_number attempt{};  ///< number of the first offer for the same request of the caller
 
     bool operator==(const job_offer&) const = default;
 };
@@ -137,7 +148,8 @@
 struct job_cancel {
     job_id job;
     endpoint owner;
-    offer_number number{};  ///< this offer and earlier ones are cancelled, later ones are not
+    offer_number number{};       ///< this offer and earlier ones are cancelled, later ones are not
+    bool never_offered = false;  ///< the owner has not had the job started anywhere
 
     bool operator==(const job_cancel&) const = default;
 };
@@ -172,6 +184,7 @@
     milliseconds echoed_clock{};           ///< latest clock reading of the receiver that the sender received
     std::vector<offer_number> offers;      ///< of the sender, in force at the receiver; ascending
     offer_number last_offer{};             ///< the list does not cover later offers
+    bool orders_owners = false;            ///< the pools of the sender order the owners of jobs
 
     bool operator==(const instance_status&) const = default;
 };
@@ -349,8 +362,10 @@
     offer_expired,     ///< the offer was in transit for too long
     grant_ended,       ///< no status from the owner in time, or the owner withdrew the offer
     owner_superseded,  ///< the caller has sent the job again through another instance
+    owner_admitted,    ///< the owner may have the job started in another pool
+    awaits_owner,      ///< the job waits until the runs of its former owner have ended
 };
-inline constexpr std::size_t decision_count = 19;
+inline constexpr std::size_t decision_count = 21;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
--- a/tests/instance/fleet_messages.cpp
+++ b/tests/instance/fleet_messages.cpp
@@ -196,6 +196,7 @@
     status.directory_current = store_reachable(now);
     status.pools = m_pools.loads(now);
     status.clock = workers::clock_reading(now);
+    status.orders_owners = true;
     return status;
 }
 
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -63,6 +63,8 @@
     offer.uncertain_tasks = {1, 2};
     offer.uncertain_for = milliseconds(900);
     offer.done_tasks = {0};
+    offer.order = owner_order::only;
+    offer.attempt = offer_number(6);
     const pool_load load{offer.pool, offer.service, fencing_token(9), 1, 2, 3, 4, 5};
     return {
         offer,
@@ -75,7 +77,7 @@
                    false,
                    {1},
                    offer_number(9)},
-        job_cancel{offer.job, endpoint("127.0.0.1:3"), offer_number(10)},
+        job_cancel{offer.job, endpoint("127.0.0.1:3"), offer_number(10), true},
         instance_status{endpoint("127.0.0.1:4"),
                         data_centre_id("ollur"),
                         250,
@@ -89,7 +91,8 @@
                         milliseconds(15),
                         milliseconds(16),
                         {offer_number(17), offer_number(18)},
-                        offer_number(19)},
+                        offer_number(19),
+                        true},
         directory_pull{endpoint("127.0.0.1:5"), 11},
         directory_push{endpoint("127.0.0.1:4"), 11, 12, true, {{"servers/i-1", 13, "{}"}, {"k", 14, ""}}},
         directory_pull{endpoint("127.0.0.1:5"), 0, true},
