instance: log offers that were not sent

A line `offer not sent` with the offer's number now says so, and poplarshedctl explain knows it, `superseded` and `awaits_owner`.

--- a/source/ctl/request_path.cpp
+++ b/source/ctl/request_path.cpp
@@ -33,7 +33,7 @@
     std::string_view limit;
 };
 
-constexpr std::array<decisive_message, 9> decisive_messages{{
+constexpr std::array<decisive_message, 12> decisive_messages{{
     {"refused_too_late", "the job could no longer end in time", "waited", "left"},
     {"refused_no_worker", "no worker of the pool can take a task of this size", "", ""},
     {"waits_for_lapse", "the instance that ran the job was lost; its leases had to lapse first", "", ""},
@@ -43,6 +43,9 @@
     {"fenced", "another instance had taken the pool", "", ""},
     {"returned_to_owner", "the pool gave the job back", "", ""},
     {"given_back", "the holder had lost the pool or dropped the job", "waited", ""},
+    {"superseded", "the caller had sent the job again through another instance", "waited", ""},
+    {"awaits_owner", "another instance had read the job; its runs had to end first", "", ""},
+    {"offer not sent", "the caller had left before the job was offered", "", ""},
 }};
 
 // Ends that are told to the caller without a job.
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -279,6 +279,13 @@
     if (auto* out = std::get_if<routing::send_to_holder>(&action)) {
         if (const auto* offer = std::get_if<workers::job_offer>(&out->message)) {
             if (!has_caller(now, offer->job)) {
+                m_log.decision(now, {severity::info,
+                                     telemetry::category::jobs,
+                                     "offer not sent",
+                                     offer->job.value(),
+                                     {{"cause", std::string("the caller has left")},
+                                      {"holder", out->holder.value()},
+                                      {"offer", static_cast<std::int64_t>(offer->number.value())}}});
                 return;
             }
             relate(now, out->holder);
