routing, workers: close holes in the order of owners found in review

Now only statuses that have timed out count, an owner that is back and lists the job keeps it if there is no other, and is told again to give up if there is. - After a refusal or a completion the next attempt waited 1,990 ms for runs that can't exist. The cancel now says that nothing runs. - A hand-over lost the wait for the first owner; it now ends the later attempt as unknown. A fenced pool admits nobody. - An admission outlived a pause of the owner's process; it asks again. - Holder and pool are compared, not the pool alone; a status that is older than the last request releases nothing; only progress without tasks says that a job is kept; an offer that is left out of a status isn't listed by its attempt.

--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -222,6 +222,9 @@
             {severity::warning, telemetry::category::peer, "peer is silent", {}, {{"peer", silent.value()}}});
         m_pools.on_owner_lost(now, silent);
     }
+    for (const endpoint& owner : m_peers.newly_timed_out(now)) {
+        m_pools.on_owner_timed_out(now, owner);
+    }
     for (const endpoint& silent : m_peers.silent_connections(now)) {
         m_log.event({severity::warning,
                      telemetry::category::peer,
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -136,6 +136,13 @@
     }
 }
 
+void pool_host::on_owner_timed_out(time_point now, const endpoint& owner)
+{
+    for (const auto& [id, pool] : m_pools) {
+        pool->on_owner_timed_out(now, owner);
+    }
+}
+
 void pool_host::on_pause(time_point now)
 {
     for (const routing::pool_id& pool : held()) {
--- a/source/instance/pool_host.h
+++ b/source/instance/pool_host.h
@@ -69,6 +69,7 @@
     void on_cancel(time_point now, const workers::job_cancel& cancel);
     void on_active_offers(time_point now, const workers::active_offers& offers);
     void on_owner_lost(time_point now, const endpoint& owner);
+    void on_owner_timed_out(time_point now, const endpoint& owner);
     /// This process did not run for a while: leases have lapsed and other instances may hold its pools.
     void on_pause(time_point now);
     /// The pool that an answer belongs to; nullptr if it was given up since the order was sent.
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -15,6 +15,7 @@
     entry.last_status_at = now;
     entry.silent_since = now;
     entry.reported_unreachable = false;
+    entry.reported_timed_out = false;
     entry.disconnected = false;
     clear_indices();
 }
@@ -44,6 +45,18 @@
     return unreachable;
 }
 
+std::vector<endpoint> peer_table::newly_timed_out(time_point now)
+{
+    std::vector<endpoint> timed_out;
+    for (auto& [address, entry] : m_peers) {
+        if (address != m_self && !entry.reported_timed_out && entry.has_timed_out(now)) {
+            entry.reported_timed_out = true;
+            timed_out.push_back(address);
+        }
+    }
+    return timed_out;
+}
+
 std::vector<endpoint> peer_table::silent_connections(time_point now)
 {
     std::vector<endpoint> silent;
--- a/source/routing/peers.h
+++ b/source/routing/peers.h
@@ -37,6 +37,7 @@
         time_point last_status_at;
         time_point silent_since;  ///< last status, or when the connection was last replaced
         bool reported_unreachable = false;
+        bool reported_timed_out = false;
         bool disconnected = false;  ///< the connection was closed or refused after the last status
 
         /// Time without a status after which the peer counts as unreachable.
@@ -59,6 +60,10 @@
     /// without a status for peer_retention_time.
     std::vector<endpoint> newly_unreachable(time_point now);
 
+    /// Peers whose statuses have timed out since the last call; each is returned once. Unlike an unreachable
+    /// peer, one whose connection was just closed is not among them.
+    std::vector<endpoint> newly_timed_out(time_point now);
+
     /// Peers whose connection is to be replaced now; each is returned once in silent_connection_timeout.
     std::vector<endpoint> silent_connections(time_point now);
 
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -199,8 +199,9 @@
     }
     m_holder_expected_until = now + m_options.max_holder_absence;
     const bool admitted =
-        !ordering || (pending_job.admitted && pending_job.ordering_holder == ordering->holder);
-    if (!admitted && chosen->pool != ordering->pool) {
+        !ordering || (pending_job.admitted && pending_job.ordering_holder == ordering->holder &&
+                      pending_job.ordering_pool == ordering->pool);
+    if (!admitted && (chosen->pool != ordering->pool || chosen->holder != ordering->holder)) {
         request_order(now, pending_job, *ordering, decision);
         return true;
     }
@@ -247,11 +248,13 @@
 
 void router::request_order(time_point now, job& pending_job, const pool_at& at, routing_decision decision)
 {
-    if (pending_job.ordering_holder != at.holder) {
-        release_order(pending_job);
+    if (pending_job.ordering_holder != at.holder || pending_job.ordering_pool != at.pool) {
+        release_order(pending_job, !pending_job.offered);
     }
     pending_job.admitted = false;
+    pending_job.kept = false;
     pending_job.ordering_holder = at.holder;
+    pending_job.ordering_pool = at.pool;
     pending_job.decision_after_order = decision;
     pending_job.offer.order = workers::owner_order::only;
     prepare_message(now, pending_job, at);
@@ -282,30 +285,30 @@
         find_holder(now, id, routing_decision::offered);
         return;
     }
+    if (pending_job.kept) {
+        if (may_offer(now)) {
+            send_offer(now, pending_job, {pending_job.offer.pool, pending_job.holder, {}, {}},
+                       pending_job.decision_after_order);
+        }
+        return;
+    }
     if (now < pending_job.order_sent + order_retry_interval) {
         return;
     }
     if (may_still_start(now, pending_job)) {
         send_order_request(now, pending_job);
     } else {
-        // The holder may have kept the job, and may have started it by now.
+        // Another instance may have had the job started.
         give_up(now, id, refusal_reason::timed_out);
     }
 }
 
-void router::keep_at_ordering_holder(job& pending_job)
-{
-    pending_job.offer.order = workers::owner_order::here;
-    pending_job.offered = true;
-}
-
-void router::release_order(const job& pending_job)
+void router::release_order(const job& pending_job, bool nothing_runs)
 {
     if (pending_job.admitted || awaits_order(pending_job)) {
-        m_actions.emplace_back(
-            send_to_holder{pending_job.ordering_holder,
-                           workers::job_cancel{pending_job.offer.job, m_peers.self(),
-                                               pending_job.offer.attempt, !pending_job.offered}});
+        m_actions.emplace_back(send_to_holder{pending_job.ordering_holder,
+                                              workers::job_cancel{pending_job.offer.job, m_peers.self(),
+                                                                  pending_job.offer.attempt, nothing_runs}});
     }
 }
 
@@ -314,9 +317,12 @@
     const auto ordering = ordering_pool(now, pending_job);
     const bool orders = ordering && ordering->pool == chosen.pool && ordering->holder == chosen.holder;
     if (orders && pending_job.ordering_holder != chosen.holder) {
-        release_order(pending_job);
+        release_order(pending_job, !pending_job.offered);
         pending_job.ordering_holder = chosen.holder;
     }
+    if (orders) {
+        pending_job.ordering_pool = chosen.pool;
+    }
     pending_job.admitted = pending_job.admitted && !orders;
     pending_job.offered = true;
     pending_job.offer.order = orders ? workers::owner_order::here : workers::owner_order::elsewhere;
@@ -357,7 +363,7 @@
             record_grant(now, pending_job);
             status.offers.push_back(pending_job.offer.number);
         }
-        if (pending_job.ordering_holder == to) {
+        if (pending_job.ordering_holder == to && (pending_job.holder != to || awaits_order(pending_job))) {
             status.offers.push_back(pending_job.offer.attempt);
         }
     }
@@ -439,7 +445,7 @@
     if (!pending_job.holder.empty()) {
         m_actions.emplace_back(send_to_holder{pending_job.holder, cancel_of(pending_job)});
     }
-    release_order(pending_job);
+    release_order(pending_job, !pending_job.offered);
     m_jobs.erase(id);
     m_callers.erase(found);
 }
@@ -450,8 +456,8 @@
     if (found == m_jobs.end()) {
         return;
     }
-    if (awaits_order(found->second)) {
-        keep_at_ordering_holder(found->second);
+    if (awaits_order(found->second) && progress.done_tasks.empty()) {
+        found->second.kept = true;
     }
     auto& done = found->second.offer.done_tasks;
     done.insert(done.end(), progress.done_tasks.begin(), progress.done_tasks.end());
@@ -555,7 +561,9 @@
         if (!result.may_have_run) {
             return;  // the request is repeated, until the statuses show where the pool is
         }
-        keep_at_ordering_holder(pending_job);
+        // Runs of a former owner may go on there.
+        pending_job.offer.order = workers::owner_order::here;
+        pending_job.offered = true;
     }
     if (!result.may_have_run && !pending_job.offer.may_have_run) {
         pending_job.returned_by.clear();
@@ -620,7 +628,9 @@
 {
     const auto found = m_jobs.find(id);
     const milliseconds waited = elapsed(now, found->second.arrived);
-    release_order(found->second);
+    const job& ended = found->second;
+    release_order(ended, !ended.offered || kind == answer_kind::refused ||
+                             (kind == answer_kind::completed && !ended.offer.may_have_run));
     m_actions.emplace_back(answer_caller{found->second.caller, id, kind, reason, retry_after,
                                          found->second.offer.service, waited});
     m_actions.emplace_back(routing_record{
@@ -699,6 +709,7 @@
 {
     m_no_offers_until = now + m_options.offer_delay_after_pause;
     for (auto& [id, pending_job] : m_jobs) {
+        pending_job.admitted = false;
         if (!pending_job.holder.empty() && !pending_job.lost && !awaits_order(pending_job)) {
             pending_job.lost = true;
             pending_job.lost_at = now;
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -142,7 +142,9 @@
         std::vector<pool_id> returned_by;  ///< pools that have returned the job
         /// Holder that was last asked to admit this instance as the owner of the job; empty if none was.
         endpoint ordering_holder;
+        pool_id ordering_pool;  ///< for which it was asked
         bool admitted = false;  ///< the ordering holder has returned the job
+        bool kept = false;      ///< the ordering holder has kept the job, whose runs have not ended there
         bool offered = false;   ///< to a holder that may start it
         time_point order_sent;  ///< last request of the order
         routing_decision decision_after_order = routing_decision::offered;
@@ -176,10 +178,9 @@
     void send_order_request(time_point now, job& pending_job);
     /// Repeats an unanswered request of the order, or sends it to another holder.
     void check_order(time_point now, const job_id& id);
-    /// The holder that was only asked for the order has kept the job, whose runs have not ended there.
-    static void keep_at_ordering_holder(job& pending_job);
     /// Tells the ordering holder that this instance works on the job no longer.
-    void release_order(const job& pending_job);
+    /// @param nothing_runs no task that was started for this instance can run any more
+    void release_order(const job& pending_job, bool nothing_runs);
     /// Sets what all offers of a job to a holder contain.
     void prepare_message(time_point now, job& pending_job, const pool_at& at);
     void send_offer(time_point now, job& pending_job, const choice& chosen, routing_decision decision);
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -160,13 +160,13 @@
 flatbuffers::Offset<fb::pool_cancel> pack(builder& out, const workers::job_cancel& value)
 {
     const auto job = pack(out, value.job);
-    return fb::Createpool_cancel(out, job, pack(out, value.owner), value.number.value(), value.never_offered);
+    return fb::Createpool_cancel(out, job, pack(out, value.owner), value.number.value(), value.nothing_runs);
 }
 
 std::optional<workers::job_cancel> unpack(const fb::pool_cancel& table)
 {
     return workers::job_cancel{workers::job_id(table.job()->str()), endpoint(table.owner()->str()),
-                               workers::offer_number(table.number()), table.never_offered()};
+                               workers::offer_number(table.number()), table.nothing_runs()};
 }
 
 flatbuffers::Offset<fb::instance_status> pack(builder& out, const workers::instance_status& value)
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -52,6 +52,9 @@
     void on_active_offers(time_point now, const active_offers& offers);
     /// The owner is unreachable; its callers have lost their connections.
     void on_owner_lost(time_point now, const endpoint& owner);
+    /// The statuses of the owner have timed out: jobs that it may have started elsewhere get no other owner
+    /// until their runs have ended.
+    void on_owner_timed_out(time_point now, const endpoint& owner);
     void on_start_reply(time_point now, const start_reply& reply);
     void on_stop_reply(time_point now, const stop_reply& reply);
     void on_listing(time_point now, const listing& answer);
@@ -166,6 +169,7 @@
     struct admitted_owner {
         endpoint owner;
         offer_number attempt;
+        offer_number number;     ///< of its last request
         time_point arrived;      ///< the caller's request
         time_point deadline_at;  ///< the owner gives the job up by then
         /// Set when the owner has given the job up: its runs have ended by then.
@@ -184,7 +188,6 @@
     /// The owner works on the job no longer.
     void release_owner(time_point now, const job_id& id, admitted_owner& admitted, std::string_view cause);
     void release_withdrawn_owners(time_point now, const active_offers& offers);
-    void release_lost_owner(time_point now, const endpoint& owner);
     void forget_released_owners(time_point now);
     /// True while runs of a job that was dropped here may still be active on the workers of this pool.
     bool may_run_here(const job_id& id) const;
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -80,6 +80,16 @@
         on_known_offer(now, *known, owner, offer, *granted);
         return;
     }
+    if (m_fenced && order_only) {
+        job_result answer;
+        answer.job = offer.job;
+        answer.holder = m_options.own_address;
+        answer.end = job_end::not_held;
+        answer.may_have_run = false;
+        answer.number = offer.number;
+        notify_owner(owner, std::move(answer));
+        return;
+    }
     if (order_owners(now, owner, offer)) {
         return;
     }
@@ -156,6 +166,8 @@
     }
     set_times(now, job, offer);
     job.offer.number = offer.number;
+    job.offer.attempt = offer.attempt;
+    job.offer.order = offer.order;
     job.granted_until = granted;
     for (const std::uint32_t number : offer.done_tasks) {
         mark_done(job, number);
@@ -167,6 +179,7 @@
     }
     job.uncertain_until = std::max(job.uncertain_until, now + offer.uncertain_for);
     finish_if_done(now, offer.job);
+    schedule(now);
 }
 
 void pool::mark_done(job_record& job, std::uint32_t number)
@@ -391,6 +404,14 @@
     if (auto finished = m_finished_tasks.extract(job.offer.job)) {
         notify_owner(job.owner, job_progress{job.offer.job, std::move(finished.mapped())});
     }
+    if (has_other_owner(job)) {
+        // The next holder knows nothing of the other owner, and must not start the job before its runs have
+        // ended.
+        job_result result = make_result(job, job_end::gave_up);
+        result.reason = refusal_reason::cancelled;
+        notify_owner(job.owner, std::move(result));
+        return;
+    }
     notify_owner(job.owner, not_held_answer(job));
 }
 
@@ -466,7 +487,7 @@
     const auto admitted = m_admitted_owners.find(cancel.job);
     if (admitted != m_admitted_owners.end() && admitted->second.owner == cancel.owner &&
         admitted->second.attempt == cancel.number) {
-        if (cancel.never_offered) {
+        if (cancel.nothing_runs) {
             m_admitted_owners.erase(admitted);
             schedule(now);
         } else {
@@ -482,7 +503,6 @@
 
 void pool::on_owner_lost(time_point now, const endpoint& owner)
 {
-    release_lost_owner(now, owner);
     std::vector<job_id> lost;
     for (const auto& [id, job] : m_jobs) {
         if (job->owner == owner) {
--- a/source/workers/pool_owners.cpp
+++ b/source/workers/pool_owners.cpp
@@ -15,9 +15,6 @@
             admitted.owner == owner && admitted.attempt == offer.attempt && !admitted.runs_ended_at;
         if (!same) {
             const bool newer = arrived > admitted.arrived;
-            if (newer && admitted.runs_ended_at) {
-                return false;
-            }
             if (newer) {
                 notify_superseded(admitted.owner, offer.job, admitted.attempt);
             } else {
@@ -25,6 +22,7 @@
             }
             return !newer;
         }
+        admitted.number = offer.number;
         if (offer.order != owner_order::only) {
             m_admitted_owners.erase(found);
             return false;
@@ -67,35 +65,40 @@
 
 void pool::admit_owner(const endpoint& owner, const job_offer& offer, time_point arrived)
 {
-    m_admitted_owners.insert_or_assign(
-        offer.job, admitted_owner{owner, offer.attempt, arrived, arrived + offer.deadline, std::nullopt});
+    m_admitted_owners.insert_or_assign(offer.job, admitted_owner{owner, offer.attempt, offer.number, arrived,
+                                                                 arrived + offer.deadline, std::nullopt});
 }
 
 void pool::release_owner(time_point now, const job_id& id, admitted_owner& admitted, std::string_view cause)
 {
     if (!admitted.runs_ended_at) {
         admitted.runs_ended_at = now + reassignment_delay;
-        record(decision::job_ended, id, {}, std::string(cause));
+        record(decision::owner_released, id, {}, std::string(cause));
     }
 }
 
 void pool::release_withdrawn_owners(time_point now, const active_offers& offers)
 {
     for (auto& [id, admitted] : m_admitted_owners) {
-        if (admitted.owner == offers.owner && !(offers.last < admitted.attempt) &&
-            !std::binary_search(offers.numbers.begin(), offers.numbers.end(), admitted.attempt)) {
+        if (admitted.owner != offers.owner || offers.last < admitted.number) {
+            continue;
+        }
+        if (!std::binary_search(offers.numbers.begin(), offers.numbers.end(), admitted.attempt)) {
             release_owner(now, id, admitted, "withdrawn");
+        } else if (admitted.runs_ended_at && !m_jobs.contains(id)) {
+            // The owner is back, and there is no other one.
+            admitted.runs_ended_at.reset();
+        } else if (admitted.runs_ended_at) {
+            notify_superseded(admitted.owner, id, admitted.attempt);
         }
     }
 }
 
-void pool::release_lost_owner(time_point now, const endpoint& owner)
+void pool::on_owner_timed_out(time_point now, const endpoint& owner)
 {
     for (auto& [id, admitted] : m_admitted_owners) {
         if (admitted.owner == owner && !admitted.runs_ended_at) {
             release_owner(now, id, admitted, "owner lost");
-            // In a one-way partition the owner still receives messages, and would work on.
-            notify_superseded(owner, id, admitted.attempt);
         }
     }
 }
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -217,7 +217,8 @@
     m_window_full = window == 0;
     for (job_record* job : waiting_in_order(now)) {
         // The owner may assign the job to another holder some time after the grant has expired.
-        if (now > job->granted_until || has_other_owner(*job)) {
+        // An owner that has only asked for the order does not expect the job to be started here.
+        if (now > job->granted_until || has_other_owner(*job) || job->offer.order == owner_order::only) {
             continue;
         }
         const bool former_runs_known =
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr std::array<std::string_view, decision_count> decision_names{
-    "admitted",      "refused_no_worker", "refused_too_late", "returned_to_owner", "started",
-    "start_failed",  "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
-    "worker_silent", "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
-    "fenced",        "offer_expired",     "grant_ended",      "owner_superseded",  "owner_admitted",
-    "awaits_owner"};
+    "admitted",       "refused_no_worker", "refused_too_late", "returned_to_owner", "started",
+    "start_failed",   "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
+    "worker_silent",  "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
+    "fenced",         "offer_expired",     "grant_ended",      "owner_superseded",  "owner_admitted",
+    "owner_released", "awaits_owner"};
 
 constexpr std::array<std::string_view, run_end_count> run_end_names{"done",   "failed",     "stopped",
                                                                     "lapsed", "peer_ended", "peers_missing"};
@@ -42,6 +42,7 @@
         case decision::admitted:
         case decision::started:
         case decision::owner_admitted:
+        case decision::owner_released:
             return true;
         case decision::run_ended:
             return record.detail == to_string(run_end::done);
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -148,8 +148,8 @@
 struct job_cancel {
     job_id job;
     endpoint owner;
-    offer_number number{};       ///< this offer and earlier ones are cancelled, later ones are not
-    bool never_offered = false;  ///< the owner has not had the job started anywhere
+    offer_number number{};      ///< this offer and earlier ones are cancelled, later ones are not
+    bool nothing_runs = false;  ///< no task that the owner has had started can run any more
 
     bool operator==(const job_cancel&) const = default;
 };
@@ -363,9 +363,10 @@
     grant_ended,       ///< no status from the owner in time, or the owner withdrew the offer
     owner_superseded,  ///< the caller has sent the job again through another instance
     owner_admitted,    ///< the owner may have the job started in another pool
+    owner_released,    ///< the owner works on the job no longer
     awaits_owner,      ///< the job waits until the runs of its former owner have ended
 };
-inline constexpr std::size_t decision_count = 21;
+inline constexpr std::size_t decision_count = 22;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
--- a/tests/instance/fleet_instance.cpp
+++ b/tests/instance/fleet_instance.cpp
@@ -197,6 +197,9 @@
         note({}, "peer " + silent.value() + " is silent");
         m_pools.on_owner_lost(now, silent);
     }
+    for (const endpoint& owner : m_peers.newly_timed_out(now)) {
+        m_pools.on_owner_timed_out(now, owner);
+    }
     for (const routing::claim_pool& claim :
          m_pools.decide(now, {m_peers, m_records, store_reachable(now), false})) {
         m_world.store.claim({m_identity.index, m_life}, m_identity.address, claim,
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -8,11 +8,12 @@
 namespace {
 
 // Workers write to the store each 500 ms; the store forgets one that has been silent three times as long.
-// Orders to workers that are sent meanwhile are on their way when the connections are reset.
-constexpr milliseconds reset_duration{2};
 constexpr milliseconds entry_lapse{1500};
 constexpr milliseconds greatest_wall_offset{2000};
 
+// Orders to workers that are sent meanwhile are on their way when the connections are reset.
+constexpr milliseconds reset_duration{2};
+
 std::size_t addresses_of(const fleet_shape& shape)
 {
     return shape.data_centres * (shape.instances_in_each + shape.spares_in_each);
@@ -132,6 +133,10 @@
     m_time.note({}, "FAULT all connections are reset");
     m_links.reset_all();
     m_callers.reset_connections();
+    if (m_time.now() < m_resetting_until) {
+        return;
+    }
+    m_resetting_until = m_time.now() + reset_duration;
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         const order_faults before = m_workers.faults(i);
         m_workers.faults(i).lost = 0.5;
--- a/tests/instance/fleet_world.h
+++ b/tests/instance/fleet_world.h
@@ -97,6 +97,7 @@
     virtual_links m_links;
     virtual_callers m_callers;
     std::size_t m_starts = 0;
+    time_point m_resetting_until;  ///< connections to workers
     std::vector<std::string> m_violations;
 };
 
