instance, soak: log where a configuration came from, keep the logs of failed runs

"configuration in force" now names the version before and the source (the store, or the peer that passed it on), and an older configuration that is not used is logged. The soak notes each probe that shows a newer version, and says of a broken one when it was sent and which version was the newest at the answer.

No logic changed. Hypotheses, written before: (A) overtaken probe: versions of a life only rise, "no route" has a configuration two or more above the path; (B) regress: they fall; (C) answer of another incarnation; (D) a 404 for another cause than the route; (E) the right version with routes missing: "no route" has the path's version or the next.

--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -84,12 +84,13 @@
     void relate(time_point now, const endpoint& holder);
     void take_offers_in_force(time_point now, const workers::instance_status& status);
     void decide_ownership(time_point now);
-    void update_directory(time_point now);
+    /// @param source where new items came from, for the log; empty: no new items
+    void update_directory(time_point now, std::string_view source = {});
     void follow_directory(time_point now);
     void follow_configuration(time_point now);
     bool directory_current(time_point now) const;
     bool is_directory_source(time_point now) const { return m_relay.is_source() && m_store.watches(now); }
-    void apply_configuration();
+    void apply_configuration(std::string_view source);
     void update_network();
     void propose_layout(time_point now);
     void follow_store_state(time_point now);
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -131,17 +131,17 @@
                      {},
                      {{"key", pending.key}, {"status", static_cast<std::int64_t>(response.status)}}});
     }
-    update_directory(now);
+    update_directory(now, "store");
 }
 
-void daemon::update_directory(time_point now)
+void daemon::update_directory(time_point now, std::string_view source)
 {
     if (m_store.reachable(now) || directory_current(now)) {
         m_directory.forget_vanished(now);
     }
     const directory::change changes = m_directory.take_changes();
     if (changes.configuration) {
-        apply_configuration();
+        apply_configuration(source);
     }
     for (const directory::skipped_entry& skipped : m_directory.take_skipped()) {
         m_metrics.add(telemetry::items_skipped, to_string(skipped.cause.reason));
@@ -162,7 +162,7 @@
     }
 }
 
-void daemon::apply_configuration()
+void daemon::apply_configuration(std::string_view source)
 {
     auto decoded = m_protocol.decode_configuration(m_directory.configuration_value());
     if (!decoded) {
@@ -174,7 +174,15 @@
                      {{"detail", decoded.error().detail}}});
         return;
     }
+    const auto previous = static_cast<std::int64_t>(m_configuration.version);
     if (m_configured && decoded.value().version < m_configuration.version) {
+        m_log.event({severity::warning,
+                     telemetry::category::configuration,
+                     "older configuration not used",
+                     {},
+                     {{"version", static_cast<std::int64_t>(decoded.value().version)},
+                      {"in_force", previous},
+                      {"source", std::string(source)}}});
         return;
     }
     m_configuration = std::move(decoded).value();
@@ -184,6 +192,8 @@
                  "configuration in force",
                  {},
                  {{"version", static_cast<std::int64_t>(m_configuration.version)},
+                  {"previous", previous},
+                  {"source", std::string(source)},
                   {"routes", static_cast<std::int64_t>(m_configuration.routes.size())}}});
     m_metrics.set(telemetry::configuration_in_force, static_cast<double>(m_configuration.version));
 }
--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -115,7 +115,7 @@
 {
     if (message.configuration_only) {
         m_directory.on_configuration(message);
-        update_directory(now);
+        update_directory(now, message.source.value());
         return;
     }
     if (m_upstream.source != message.source) {
@@ -134,7 +134,7 @@
         m_followed_sequence = 0;
         m_last_pull = now + retry_of_outdated_directory;
     }
-    update_directory(now);
+    update_directory(now, message.source.value());
 }
 
 void daemon::send(time_point now, const endpoint& to, wire::message message)
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -18,19 +18,19 @@
 
 }  // namespace
 
-std::string promises::instant() const
+std::string promises::instant(clock::time_point at) const
 {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(clock::now() - m_begin).count()) + " ms: ";
+    return std::to_string(std::chrono::duration_cast<milliseconds>(at - m_begin).count()) + " ms";
 }
 
 void promises::note(const std::string& what)
 {
-    m_journal.push_back(instant() + what);
+    m_journal.push_back(instant(clock::now()) + ": " + what);
 }
 
 void promises::violate(const std::string& what)
 {
-    m_violations.push_back(instant() + what);
+    m_violations.push_back(instant(clock::now()) + ": " + what);
     note("BROKEN " + what);
 }
 
@@ -109,9 +109,14 @@
     if (seen.life != life) {
         seen = {life, 0};
     }
-    const std::string subject = "front-" + std::to_string(instance) + " probed for version " +
-                                std::to_string(version) + (served ? " serves it" : " does not know it");
+    const std::string subject = "front-" + std::to_string(instance) + " (life " + std::to_string(life) +
+                                ") probed at " + instant(sent) + " for version " + std::to_string(version) +
+                                (served ? " serves it" : " does not know it") + ", newest now " +
+                                std::to_string(m_world.version());
     if (served) {
+        if (version > seen.version) {
+            note(subject);
+        }
         seen.version = std::max(seen.version, version);
         return;
     }
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -69,7 +69,7 @@
 private:
     void check_start(const stand_ins::observed_start& start);
     void check_running();
-    std::string instant() const;
+    std::string instant(clock::time_point at) const;
 
     struct seen_version {
         std::uint64_t life = 0;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,8 +19,9 @@
 struct soak_options {
     size_options size;
     milliseconds length{20'000};
-    std::filesystem::path keep;  ///< folder for the logs of a failed run; empty: not kept
-    bool keep_all = false;       ///< the logs of every run
+    /// Folder for the logs of failed runs.
+    std::filesystem::path keep = std::filesystem::path(POPLARSHED_BIN_DIR).parent_path() / "soak-runs";
+    bool keep_all = false;  ///< the logs of every run
 };
 
 /// One run of a seed.
@@ -110,6 +111,17 @@
     bool m_finished = false;
 };
 
+/// Logs of a seed that has run before are left as they are.
+std::filesystem::path new_folder(const std::filesystem::path& parent, std::uint64_t seed)
+{
+    const std::string name = "seed-" + std::to_string(seed);
+    std::filesystem::path target = parent / name;
+    for (int i = 2; std::filesystem::exists(target); ++i) {
+        target = parent / (name + "-" + std::to_string(i));
+    }
+    return target;
+}
+
 bool run_seed(const soak_options& options)
 {
     const integration::scratch_folder folder;
@@ -131,14 +143,10 @@
     for (std::size_t i = 0; i < violations.size() && i < 10; ++i) {
         std::cout << "  " << violations[i] << '\n';
     }
-    if (!options.keep.empty()) {
-        const auto target = options.keep / ("seed-" + std::to_string(options.size.seed));
-        std::filesystem::create_directories(target);
-        std::filesystem::copy(
-            folder.path(), target,
-            std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
-        std::cout << "  logs and events: " << target.string() << '\n';
-    }
+    const auto target = new_folder(options.keep, options.size.seed);
+    std::filesystem::create_directories(target);
+    std::filesystem::copy(folder.path(), target, std::filesystem::copy_options::recursive);
+    std::cout << "  logs and events: " << target.string() << '\n';
     return violations.empty();
 }
 
