--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -178,29 +178,48 @@
     m_checks.on_departed(job, statuses);
 }
 
+net::awaitable<std::optional<callers::probe_answer>> callers::probe(std::size_t instance,
+                                                                    const std::string& path)
+{
+    const deployment::instance& at = m_world.at(instance);
+    tcp::socket socket(m_world.io());
+    const deadline guard(m_world.io(), socket, probe_limit);
+    boost::system::error_code failed;
+    co_await socket.async_connect(stand_ins::parse_endpoint(at.callers.address()),
+                                  net::redirect_error(net::use_awaitable, failed));
+    if (failed) {
+        co_return std::nullopt;
+    }
+    // Of the process that has taken the connection: an earlier one has ended, and no answer comes.
+    const std::uint64_t life = at.life;
+    const auto response = co_await exchange(socket, request_of(http::verb::get, path), failed);
+    const bool served = response.result() == http::status::ok;
+    if (failed || (!served && response.result() != http::status::not_found)) {
+        co_return std::nullopt;
+    }
+    co_return probe_answer{life, served};
+}
+
 net::awaitable<void> callers::run_probe(std::size_t instance)
 {
     while (!m_stopped) {
         co_await stand_ins::sleep_for(m_world.io(), probe_interval);
-        const deployment::instance& at = m_world.at(instance);
-        if (at.state != deployment::state::running) {
+        if (m_world.at(instance).state != deployment::state::running) {
             continue;
         }
         const std::uint64_t version = m_world.version();
-        const std::uint64_t life = at.life;
         const auto sent = clock::now();
-        tcp::socket socket(m_world.io());
-        const deadline guard(m_world.io(), socket, probe_limit);
-        boost::system::error_code failed;
-        co_await socket.async_connect(stand_ins::parse_endpoint(at.callers.address()),
-                                      net::redirect_error(net::use_awaitable, failed));
-        if (failed) {
+        const auto known = co_await probe(instance, lasting_route_of(version));
+        if (!known) {
+            continue;
+        }
+        m_checks.on_probe(instance, known->life, version, known->served, sent);
+        if (!known->served || version <= route_versions) {
             continue;
         }
-        const auto response =
-            co_await exchange(socket, request_of(http::verb::get, route_of(version)), failed);
-        if (!failed && (response.result_int() == 200 || response.result_int() == 404)) {
-            m_checks.on_probe(instance, life, version, response.result_int() == 200, sent);
+        const auto removed = co_await probe(instance, route_of(version - route_versions));
+        if (removed && removed->life == known->life) {
+            m_checks.on_probe_for_removed(instance, removed->life, version, removed->served, sent);
         }
     }
 }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -40,8 +40,15 @@
         bool open = false;
     };
 
+    struct probe_answer {
+        std::uint64_t life = 0;
+        bool served = false;
+    };
+
     net::awaitable<void> run_caller(std::size_t number);
     net::awaitable<void> run_probe(std::size_t instance);
+    /// @returns nothing if there is no answer that tells whether the route exists
+    net::awaitable<std::optional<probe_answer>> probe(std::size_t instance, const std::string& path);
     net::awaitable<void> send_job(connection& to);
     net::awaitable<attempt_record> attempt(connection& to, const std::string& body, const job_record& job,
                                            milliseconds limit);
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -28,6 +28,11 @@
     return "/v" + std::to_string(version) + "/";
 }
 
+std::string lasting_route_of(std::uint64_t version)
+{
+    return "/since" + std::to_string(version) + "/";
+}
+
 std::string peer_network::add(const std::string& target)
 {
     const std::size_t index = m_nodes.size();
@@ -119,8 +124,11 @@
 {
     const std::string previous = version > 1 ? route_of(version - 1) : lasting_route;
     m_version = version;
-    m_store.put("op/config",
-                stand_ins::desk_configuration(version, {lasting_route, route_of(version), previous}));
+    std::vector<std::string> routes{lasting_route, route_of(version), previous};
+    for (std::uint64_t known = 1; known <= version; ++known) {
+        routes.push_back(lasting_route_of(known));
+    }
+    m_store.put("op/config", stand_ins::desk_configuration(version, routes));
 }
 
 void deployment::start(std::size_t index)
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -99,7 +99,8 @@
     peer_network& network() { return m_network; }
     net::io_context& io() { return m_io; }
 
-    /// Writes a configuration that serves the route of its number and of the number before.
+    /// Writes a configuration that serves the route of its number and of the number before, and the lasting
+    /// routes of all numbers up to its own.
     void configure(std::uint64_t version);
     std::uint64_t version() const { return m_version; }
 
@@ -114,8 +115,13 @@
     std::uint64_t m_version = 0;
 };
 
-/// Path prefix of the route that a version adds.
+/// Path prefix of the route that a version adds and that the second version after it removes.
 std::string route_of(std::uint64_t version);
+/// How many versions have the route of a number.
+inline constexpr std::uint64_t route_versions = 2;
+/// Path prefix of the route that a version adds and that every later one has: who serves it knows that
+/// version or a later one, and who does not knows an older one, however many versions are written meanwhile.
+std::string lasting_route_of(std::uint64_t version);
 /// Path prefix of the route that every version has.
 inline const std::string lasting_route = "/p/";
 
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -101,7 +101,12 @@
     m_versions[version] = clock::now();
 }
 
-// The route of a version is served by that version and the next one.
+std::string promises::describe_probe(std::size_t instance, std::uint64_t life, clock::time_point sent) const
+{
+    return "front-" + std::to_string(instance) + " (life " + std::to_string(life) + ", probed at " +
+           instant(sent) + ", newest now " + std::to_string(m_world.version()) + ")";
+}
+
 void promises::on_probe(std::size_t instance, std::uint64_t life, std::uint64_t version, bool served,
                         clock::time_point sent)
 {
@@ -109,10 +114,9 @@
     if (seen.life != life) {
         seen = {life, 0};
     }
-    const std::string subject = "front-" + std::to_string(instance) + " (life " + std::to_string(life) +
-                                ") probed at " + instant(sent) + " for version " + std::to_string(version) +
-                                (served ? " serves it" : " does not know it") + ", newest now " +
-                                std::to_string(m_world.version());
+    const std::string subject = describe_probe(instance, life, sent) +
+                                (served ? " knows version " : " does not know version ") +
+                                std::to_string(version);
     if (served) {
         if (version > seen.version) {
             note(subject);
@@ -120,17 +124,25 @@
         seen.version = std::max(seen.version, version);
         return;
     }
-    if (seen.version == version) {
-        violate(subject + ": it did before");
+    if (seen.version >= version) {
+        violate(subject + ": it knew version " + std::to_string(seen.version) + " before");
     }
     const auto written = m_versions.find(version);
-    if (version == m_world.version() && written != m_versions.end() &&
-        sent > written->second + m_bounds.config && is_calm(sent) &&
+    if (written != m_versions.end() && sent > written->second + m_bounds.config && is_calm(sent) &&
         m_world.at(instance).started + m_bounds.contact < sent) {
         violate(subject + " in time");
     }
 }
 
+void promises::on_probe_for_removed(std::size_t instance, std::uint64_t life, std::uint64_t version,
+                                    bool served, clock::time_point sent)
+{
+    if (served) {
+        violate(describe_probe(instance, life, sent) + " knows version " + std::to_string(version) +
+                " and serves a route that this version removes");
+    }
+}
+
 void promises::on_worker_leaves(std::size_t worker, bool leaving)
 {
     note("worker " + std::to_string(worker) + (leaving ? " leaves" : " is back"));
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -48,8 +48,13 @@
     void on_attempt(const job_record& job, const attempt_record& attempt);
     /// No more attempts follow. @param statuses of all attempts
     void on_departed(job_record& job, const std::vector<int>& statuses);
+    /// @param served the lasting route of the version
     void on_probe(std::size_t instance, std::uint64_t life, std::uint64_t version, bool served,
                   clock::time_point sent);
+    /// An instance that serves the lasting route of a version was asked for a route which that version
+    /// removes.
+    void on_probe_for_removed(std::size_t instance, std::uint64_t life, std::uint64_t version, bool served,
+                              clock::time_point sent);
     void on_configured(std::uint64_t version);
     void on_worker_leaves(std::size_t worker, bool leaving);
     /// A fault has begun or ended; bounds do not hold while it lasts and for a time after it.
@@ -70,6 +75,7 @@
     void check_start(const stand_ins::observed_start& start);
     void check_running();
     std::string instant(clock::time_point at) const;
+    std::string describe_probe(std::size_t instance, std::uint64_t life, clock::time_point sent) const;
 
     struct seen_version {
         std::uint64_t life = 0;
