tests, workers: tell restarts, tokens and directory changes in the history of a violation

A violation of the schedules came with the history of its job only. For the known failure of it did not tell why w2 accepted a start of a former holder: neither its restart, nor the tokens it had received, nor that the directory had lost it.

Now the history ends with what concerns no single job: crashes, changes of the directory, and lists that bring a higher token to a worker. A start shows its token and the highest one that the worker had before.

--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -74,12 +74,18 @@
         std::max(worker.lease_until_ms, std::min(until_ms, clock_ms(worker) + max_lease_ms));
 }
 
+std::string virtual_site::token_history(const virtual_worker& worker, fencing_token token)
+{
+    return " token " + std::to_string(token.value()) + " after " + std::to_string(worker.token.value());
+}
+
 start_outcome virtual_site::execute_start(const start_command& command)
 {
     virtual_worker& worker = at(command.target.worker);
     add_history(command.task.job, command.target.worker.value() + " gets a start of task " +
                                       std::to_string(command.task.index) + " of run " +
-                                      std::to_string(command.run.value()));
+                                      std::to_string(command.run.value()) +
+                                      token_history(worker, command.token));
     if (command.token < worker.token) {
         return start_outcome::fenced;
     }
@@ -192,6 +198,9 @@
 void virtual_site::execute_list(const list_command& command, const respond& answer)
 {
     virtual_worker& worker = at(command.target.worker);
+    if (worker.token < command.token) {
+        add_history({}, worker.entry.id.value() + " gets a list," + token_history(worker, command.token));
+    }
     if (command.token < worker.token) {
         answer([this, command](workers::pool& pool) {
             pool.on_list_failure(m_now, command.target.worker, list_failure::fenced);
--- a/tests/workers/virtual_workers.cpp
+++ b/tests/workers/virtual_workers.cpp
@@ -95,8 +95,10 @@
     worker.clock_base_ms = 0;
     worker.clock_since = worker.up_at;
     ++worker.incarnation;
+    add_history({}, worker.entry.id.value() + " crashes, up in " + std::to_string(down.count()) + " ms");
     const auto lag = milliseconds(static_cast<std::int64_t>(m_random.below(directory_lag_ms)));
     after(down + lag, [this, &worker, incarnation = worker.incarnation] {
+        add_history({}, "directory learns of the restart of " + worker.entry.id.value());
         worker.entry.incarnation = std::max(worker.entry.incarnation, incarnation);
         update_directory();
     });
@@ -117,6 +119,7 @@
         m_worker_delisted_at = m_now;
     }
     worker.listed = listed;
+    add_history({}, "directory " + std::string(listed ? "lists " : "loses ") + worker.entry.id.value());
     update_directory();
 }
 
@@ -207,7 +210,7 @@
 
 void virtual_site::add_violation(const job_id& id, const std::string& what)
 {
-    m_violations.push_back(what + " " + id.value() + m_history[id]);
+    m_violations.push_back(what + " " + id.value() + m_history[id] + "\nworkers:" + m_history[{}]);
 }
 
 void virtual_site::process_actions()
--- a/tests/workers/virtual_workers.h
+++ b/tests/workers/virtual_workers.h
@@ -67,7 +67,7 @@
     std::size_t in_time() const;
     std::size_t starts() const { return m_starts; }
     std::size_t starts_on(std::size_t index) const { return m_workers.at(index).starts; }
-    /// Violated rules, each with the history of its job.
+    /// Violated rules, each with the history of its job and of the workers.
     const std::vector<std::string>& violations() const { return m_violations; }
 
 private:
@@ -114,6 +114,8 @@
     using respond = std::function<void(std::function<void(workers::pool&)>)>;
 
     void add_history(const job_id& id, const std::string& what);
+    /// The token of a command and the highest one that the worker had before.
+    static std::string token_history(const virtual_worker& worker, fencing_token token);
     void add_violation(const job_id& id, const std::string& what);
     void process_actions();
     void process_actions(holder_state& from);
