--- a/tests/instance/fleet_resets_test.cpp
+++ b/tests/instance/fleet_resets_test.cpp
@@ -37,6 +37,23 @@
     }
 }
 
+// Two instances take each other for lost, each for long enough to ask another holder for the order of owners.
+void cut_two_instances(virtual_fleet& fleet)
+{
+    if (fleet.time().chance(0.7)) {
+        fleet.callers().send_job();
+        return;
+    }
+    constexpr milliseconds length{3000};
+    const std::size_t one = fleet.time().below(fleet.size());
+    const std::size_t other = (one + 1 + fleet.time().below(fleet.size() - 1)) % fleet.size();
+    fleet.cut(one, other, length);
+    fleet.cut(other, one, length);
+    for (int i = 0; i < 8; ++i) {
+        fleet.time().after(milliseconds(350) * i, [&fleet] { fleet.callers().send_job_into_reset(); });
+    }
+}
+
 void run_step(virtual_fleet& fleet, fault added)
 {
     if (fleet.time().chance(0.6)) {
@@ -95,6 +112,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_two_instances_are_cut_from_each_other)
+
+// Guards against two instances that have read a request and know different holders of the same pools.
+BOOST_AUTO_TEST_CASE(a_job_that_both_have_read_runs_alone)
+{
+    check_schedules(cut_two_instances);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::instance::test
