--- a/tests/routing/ordering_test.cpp
+++ b/tests/routing/ordering_test.cpp
@@ -12,7 +12,7 @@
 std::string job_ordered_by(const pool_id& pool)
 {
     for (int i = 0;; ++i) {
-        const std::string id = "j" + std::to_string(i);
+        std::string id = "j" + std::to_string(i);
         if (both_pools.at(*choose_ordering_pool(both_pools, job_id(id))) == pool) {
             return id;
         }
