Review case 1: a late start runs in a runner's next life beside the run elsewhere

A start is held on its way for 7 s; the runner crashes, its entry is removed after three heartbeats of silence, and it comes back under its id after 4.5 s. The pool has forgotten the start with the departed worker, and the new life carries it out. Code path: pool::remove_departed_workers, worker_record::abandoned, pool::reject_abandoned_starts.

--- a/review/stand_ins/world.cpp
+++ b/review/stand_ins/world.cpp
@@ -29,9 +29,6 @@
 constexpr milliseconds hold_max{1000};
 constexpr milliseconds heartbeat{1500};
 constexpr milliseconds step{2};
-// Late orders are carried out 2 to 12 s later.
-constexpr milliseconds least_lateness{2000};
-constexpr std::uint64_t lateness_range_ms = 10'000;
 // Longer than any caller waits.
 constexpr std::chrono::seconds silence{30};
 constexpr const char* host = "desk.example";
@@ -140,6 +137,7 @@
 void runners::announce(runner& on)
 {
     on.next_beat = steady_clock::now() + heartbeat;
+    on.listed = true;
     m_store.put("servers/" + on.kind.id,
                 {{"service", "desk"},
                  {"address", "127.0.0.1:" + std::to_string(on.server->port())},
@@ -192,6 +190,10 @@
     const auto now = steady_clock::now();
     for (const auto& [id, on] : m_runners) {
         if (!on->up) {
+            if (now >= on->next_beat + 2 * heartbeat && std::exchange(on->listed, false)) {
+                m_store.remove("servers/" + id);
+                m_log.line("the entry of " + id + " is removed after three heartbeats of silence");
+            }
             continue;
         }
         std::vector<std::pair<std::string, std::string>> ended;
@@ -303,7 +305,8 @@
         co_await stand_ins::sleep_for(m_io, silence);
         co_return std::nullopt;
     }
-    if (m_random.unit() < m_late_share && request.target() != "/hold") {
+    if (is_held(request)) {
+        m_held_for = on.kind.id;
         net::co_spawn(m_io, execute_late(on, std::move(request)), net::detached);
         co_await stand_ins::sleep_for(m_io, silence);
         co_return std::nullopt;
@@ -316,13 +319,32 @@
     co_return response;
 }
 
+void runners::hold_next_start(std::string job, milliseconds lateness)
+{
+    m_held_job = std::move(job);
+    m_lateness = lateness;
+}
+
+bool runners::is_held(const http_request& request)
+{
+    if (m_held_job.empty() || request.target() != "/run-start" ||
+        !json::parse(request.body()).at("task").get<std::string>().starts_with(m_held_job)) {
+        return false;
+    }
+    m_held_job.clear();
+    return true;
+}
+
 net::awaitable<void> runners::execute_late(runner& on, http_request request)
 {
-    m_log.line("late order to " + on.kind.id + ": " + std::string(request.target()) + ' ' + request.body());
-    co_await stand_ins::sleep_for(m_io, least_lateness + milliseconds(m_random.below(lateness_range_ms)));
-    if (on.up) {
-        co_await execute(on, std::move(request));
+    m_log.line("start to " + on.kind.id + " is held on its way: " + request.body());
+    co_await stand_ins::sleep_for(m_io, m_lateness);
+    if (!on.up) {
+        co_return;
     }
+    const auto response = co_await execute(on, std::move(request));
+    m_log.line("the held start reaches " + on.kind.id + ": " + std::to_string(response->result_int()) + ' ' +
+               response->body());
 }
 
 net::awaitable<std::optional<http_response>> runners::execute(runner& on, http_request request)
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -17,7 +17,6 @@
 #include <thread>
 #include <vector>
 
-#include "common/random_source.h"
 #include "stand_ins/http_server.h"
 #include "stand_ins/leased_store.h"
 
@@ -74,8 +73,10 @@
     void restart(const std::string& id, runner_kind kind);
     /// Cuts a runner off: calls do not reach it, or only its answers are lost. What runs there goes on.
     void set_cut(const std::string& id, bool calls, bool answers);
-    /// From now on this share of the starts and stops gets no answer and is carried out seconds later.
-    void set_late_share(double share) { m_late_share = share; }
+    /// The next start of a job is held on its way: it gets no answer, and the runner carries it out later.
+    void hold_next_start(std::string job, milliseconds lateness);
+    /// The runner that the held start was sent to; empty before it.
+    const std::string& held_for() const { return m_held_for; }
     /// Ends runs that are done or whose lease has lapsed; writes heartbeats. To be called every few ms.
     void advance();
 
@@ -96,6 +97,7 @@
         std::shared_ptr<poplarshed::stand_ins::http_server> server;
         std::unique_ptr<poplarshed::stand_ins::wake_list> ended;
         bool up = true;
+        bool listed = false;  ///< has an entry in the store
         bool calls_cut = false;
         bool answers_cut = false;
         std::uint64_t born = 0;
@@ -113,6 +115,7 @@
     net::awaitable<std::optional<poplarshed::stand_ins::http_response>> handle(
         runner& on, poplarshed::stand_ins::http_request request);
     net::awaitable<void> execute_late(runner& on, poplarshed::stand_ins::http_request request);
+    bool is_held(const poplarshed::stand_ins::http_request& request);
     net::awaitable<std::optional<poplarshed::stand_ins::http_response>> execute(
         runner& on, poplarshed::stand_ins::http_request request);
     poplarshed::stand_ins::http_response start(runner& on, const json& body);
@@ -131,8 +134,9 @@
     std::map<std::string, std::unique_ptr<runner>> m_runners;
     std::vector<observed_start> m_starts;
     std::vector<std::string> m_overlaps;
-    double m_late_share = 0;
-    poplarshed::random_source m_random{1};
+    std::string m_held_job;
+    milliseconds m_lateness{};
+    std::string m_held_for;
 };
 
 /// Answer to a client's request.
