http, workers: tell a refused connection from silence

What was missing: `worker_silent` had no cause, so that the log could not tell a worker whose process had ended from one that was cut off or frozen. The HTTP client now says whether the last connection was refused (libcurl's ECONNREFUSED: no process listens at the address), the adapter tells `connection refused`, `connection lost` and no answer in time apart, and the line `worker_silent` names it. No decision depends on it yet.

Tests: when_no_process_listens_at_an_address (real sockets), a_list_without_an_answer.

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <thread>
 #include <unordered_map>
 #include <variant>
@@ -331,6 +332,9 @@
     {
         if (code != CURLE_OK) {
             result.detail = curl_easy_strerror(code);
+            long cause = 0;
+            curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &cause);
+            result.refused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
             return;
         }
         long status = 0;
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -358,7 +358,7 @@
         worker.last_answer_at > worker.list_sent && worker.unanswered_lists <= max_immediate_lists;
     if (!worker.unreachable && !reachable) {
         worker.unreachable = true;
-        record(decision::worker_silent, {}, id, {}, elapsed(now, worker.list_sent),
+        record(decision::worker_silent, {}, id, std::string(to_string(cause)), elapsed(now, worker.list_sent),
                elapsed(worker.leases_expire_at, now));
     }
 }
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -16,6 +16,9 @@
 constexpr std::array<std::string_view, run_end_count> run_end_names{"done",   "failed",     "stopped",
                                                                     "lapsed", "peer_ended", "peers_missing"};
 
+constexpr std::array<std::string_view, list_failure_count> list_failure_names{
+    "fenced", "other_incarnation", "refused", "unanswered", "connection lost", "connection refused"};
+
 constexpr std::array<std::string_view, job_end_count> end_names{"completed", "failed",  "refused",
                                                                 "returned",  "gave_up", "not_held"};
 
@@ -31,6 +34,11 @@
     return end_names.at(static_cast<std::size_t>(value));
 }
 
+std::string_view to_string(list_failure value)
+{
+    return list_failure_names.at(static_cast<std::size_t>(value));
+}
+
 std::string_view to_string(run_end value)
 {
     return run_end_names.at(static_cast<std::size_t>(value));
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -331,7 +331,15 @@
     std::vector<listed_end> ended;
 };
 
-enum class list_failure { fenced, other_incarnation, refused, unanswered };
+enum class list_failure {
+    fenced,
+    other_incarnation,  ///< another worker has the address
+    refused,            ///< the worker does not accept the command, or its answer cannot be read
+    unanswered,         ///< no answer in time
+    lost,               ///< the connection ended without an answer
+    gone,               ///< no process listens at the worker's address
+};
+inline constexpr std::size_t list_failure_count = 6;
 
 /// Message to the instance that owns a job.
 using owner_message = std::variant<job_progress, job_result>;
@@ -370,6 +378,8 @@
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
+/// Name of a failure in logs.
+std::string_view to_string(list_failure value);
 /// Name of a run's end in logs.
 std::string_view to_string(run_end value);
 /// Name of a job's end in logs and metrics.
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -97,4 +97,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_no_process_listens_at_an_address)
+
+// Guards against a process that has ended being taken for one that is only silent.
+BOOST_FIXTURE_TEST_CASE(the_call_is_refused, fixture)
+{
+    request wanted = good();
+    {
+        stand_ins::net::io_context io;
+        stand_ins::net::ip::tcp::acceptor listener(io, {stand_ins::net::ip::address_v4::loopback(), 0});
+        wanted.host = endpoint("127.0.0.1:" + std::to_string(listener.local_endpoint().port()));
+    }
+    const response answer = call(wanted);
+    BOOST_TEST((answer.outcome == outcome_kind::not_sent));
+    BOOST_TEST(answer.refused);
+    BOOST_TEST(!call(good()).refused);
+}
+
+// Guards against a listener that accepts and says nothing being taken for a process that has ended.
+BOOST_FIXTURE_TEST_CASE(a_silent_server_does_not_refuse, fixture)
+{
+    stand_ins::net::io_context io;
+    stand_ins::net::ip::tcp::acceptor listener(io, {stand_ins::net::ip::address_v4::loopback(), 0});
+    request wanted = good();
+    wanted.host = endpoint("127.0.0.1:" + std::to_string(listener.local_endpoint().port()));
+    wanted.timeout = milliseconds(100);
+    const response answer = call(wanted);
+    BOOST_TEST((answer.outcome == outcome_kind::timed_out));
+    BOOST_TEST(!answer.refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/codec_test.cpp
+++ b/tests/users_platform/codec_test.cpp
@@ -131,6 +131,23 @@
     BOOST_TEST((listed.value().ended[0].end == workers::run_end::done));
 }
 
+// Guards against a worker that is only silent being taken for one whose process has ended.
+BOOST_AUTO_TEST_CASE(a_list_without_an_answer)
+{
+    using workers::list_failure;
+    const workers::list_command order;
+    http::response ended;
+    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::unanswered));
+    ended.written = true;
+    ended.outcome = http::outcome_kind::timed_out;
+    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::unanswered));
+    ended.outcome = http::outcome_kind::lost;
+    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::lost));
+    ended.refused = true;
+    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::gone));
+    BOOST_TEST((codec.decode_list(order, answered(421, "")).error() == list_failure::other_incarnation));
+}
+
 // Guards against a retry after a start that may run, and against a wait after one that does not.
 BOOST_AUTO_TEST_CASE(answers_to_a_start)
 {
