tests, docs: a task that crashes its workers, as known red tests

What callers saw: a task that crashes each worker which runs it is started until its caller leaves, 0.85 s after each crash, beside other jobs' tasks, which are lost with it.

The worlds in virtual time can now crash a worker under a task, with refused connections or with a machine that goes dark, and break the users' rule where such a task is started three times more after three crashes.

--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -72,6 +72,15 @@
     submit(add(tasks, work, time_limit), instance);
 }
 
+std::string virtual_callers::send_crashing_job(std::optional<std::size_t> instance, std::uint32_t tasks,
+                                               milliseconds time_limit)
+{
+    const std::string id = add(tasks, milliseconds(60), time_limit);
+    m_jobs.at(id).content.payload = virtual_workers::crashing_payload;
+    submit(id, instance);
+    return id;
+}
+
 std::string virtual_callers::add(std::uint32_t tasks, milliseconds work, milliseconds time_limit)
 {
     std::string id = "j" + std::to_string(m_jobs.size() + 1);
--- a/tests/instance/fleet_callers.h
+++ b/tests/instance/fleet_callers.h
@@ -33,6 +33,9 @@
     void send_job_to(std::size_t instance, milliseconds leaves_after);
     /// A job of one shape, sent to one instance first.
     void send_job(std::size_t instance, std::uint32_t tasks, milliseconds work, milliseconds time_limit);
+    /// A job whose tasks crash their workers. @returns its id
+    std::string send_crashing_job(std::optional<std::size_t> instance, std::uint32_t tasks,
+                                  milliseconds time_limit);
     /// One caller of those that wait closes its connection.
     void give_up_one();
     /// The connections of the callers that wait at an instance break; they send their jobs again through
@@ -52,6 +55,7 @@
     void on_killed(std::size_t instance);
     void on_started(const workers::task_ref& task, const std::string& worker);
     bool all_ended() const;
+    bool has_ended(const std::string& id) const { return m_jobs.at(id).ended; }
     /// Breaks a rule for each job without an answer.
     void check_answered();
     std::size_t answers(routing::answer_kind kind) const
--- a/tests/instance/fleet_workers.cpp
+++ b/tests/instance/fleet_workers.cpp
@@ -14,6 +14,12 @@
 constexpr std::int64_t longest_lease_ms = 1000;
 constexpr double greatest_clock_drift = 0.02;
 constexpr std::int64_t capacity_cpu = 32'000;
+constexpr milliseconds time_to_crash{20};
+constexpr milliseconds crash_downtime{3000};
+// A task under which this many workers have crashed is started less often than the second number (users'
+// rule).
+constexpr std::size_t max_crashes = 3;
+constexpr std::size_t max_later_starts = 3;
 
 milliseconds timeout_of(const worker_order& order)
 {
@@ -32,6 +38,19 @@
     return workers::list_failure::unanswered;
 }
 
+// Nothing listens at the worker's address.
+order_answer refused_connection(const worker_order& order)
+{
+    if (const auto* start = std::get_if<workers::start_command>(&order)) {
+        return workers::start_reply{
+            start->target.worker, start->task, start->run, workers::start_outcome::unreachable, {}};
+    }
+    if (std::holds_alternative<workers::stop_command>(order)) {
+        return no_answer(order);
+    }
+    return workers::list_failure::gone;
+}
+
 const workers::worker_id& target_of(const worker_order& order)
 {
     return std::visit([](const auto& item) -> const workers::worker_id& { return item.target.worker; },
@@ -120,6 +139,7 @@
     on.last_end = 0;
     on.token = {};
     on.lease_until = 0;
+    on.refuses = false;
     ++on.entry.incarnation;
 }
 
@@ -169,6 +189,14 @@
         }
     });
     const order_faults& faults = on.faults;
+    if (!on.up && on.refuses && !on.cut_off.contains(sender)) {
+        m_time.after(milliseconds(1), [made] {
+            if (!std::exchange(made->answered, true)) {
+                made->answer(refused_connection(made->order));
+            }
+        });
+        return;
+    }
     if (!on.up || on.cut_off.contains(sender) || m_time.chance(faults.lost)) {
         return;
     }
@@ -249,9 +277,45 @@
     m_events.started(order.task, on.entry.id.value());
     check_single_run(on, order);
     on.runs.emplace(key, live_run{m_time.now() + milliseconds(std::stoll(order.payload)), std::nullopt});
+    if (order.payload == crashing_payload) {
+        crash_under_task(on, order);
+    }
     return start_outcome::started;
 }
 
+void virtual_workers::crash_under_task(const worker& on, const workers::start_command& order)
+{
+    crash_count& counted = m_crashes[order.task];
+    if (counted.crashes >= max_crashes && ++counted.later_starts >= max_later_starts) {
+        m_events.broken_rule(order.task.job.value(),
+                             "started three times more after three workers have crashed under task " +
+                                 std::to_string(order.task.index));
+    }
+    const auto index = static_cast<std::size_t>(&on - m_workers.data());
+    m_time.after(time_to_crash, [this, index, key = run_key(order.task, order.run)] {
+        worker& running = m_workers.at(index);
+        if (!running.up || !running.runs.contains(key)) {
+            return;
+        }
+        m_time.note(key.first.job.value(),
+                    running.entry.id.value() + " crashes under task " + std::to_string(key.first.index));
+        ++m_crashes[key.first].crashes;
+        m_last_crashed = index;
+        crash(index);
+        running.refuses = true;
+        m_time.after(crash_downtime, [this, index] { come_back(index); });
+    });
+}
+
+std::size_t virtual_workers::crashes_under(const std::string& job) const
+{
+    std::size_t most = 0;
+    for (const auto& [task, counted] : m_crashes) {
+        most = task.job.value() == job ? std::max(most, counted.crashes) : most;
+    }
+    return most;
+}
+
 void virtual_workers::check_single_run(const worker& on, const workers::start_command& order)
 {
     for (const worker& other : m_workers) {
--- a/tests/instance/fleet_workers.h
+++ b/tests/instance/fleet_workers.h
@@ -26,8 +26,10 @@
 /// Workers under leases. A crash ends what runs and every order that is on its way.
 class virtual_workers {
 public:
-    /// What a task does is told by its payload: the milliseconds that it takes.
+    /// What a task does is told by its payload: the milliseconds that it takes, and whether it crashes its
+    /// worker.
     static constexpr std::int64_t task_cpu = 14'000;
+    static constexpr std::string_view crashing_payload = "60 crashes its worker";
 
     struct receivers {
         std::function<void(const workers::task_ref&, const std::string& worker)> started;
@@ -57,6 +59,10 @@
     /// The directory shows the present process from now on.
     void show_present(std::size_t index);
     bool is_up(std::size_t index) const { return m_workers.at(index).up; }
+    /// Workers that a task of the job has crashed; the highest number for one task.
+    std::size_t crashes_under(const std::string& job) const;
+    /// The worker that a task has crashed last.
+    std::optional<std::size_t> last_crashed() const { return m_last_crashed; }
 
     /// Workers by pool, as the store lists them.
     routing::pool_map directory() const;
@@ -74,6 +80,7 @@
         workers::worker_entry entry;
         order_faults faults;
         bool up = true;
+        bool refuses = false;  ///< connections while it is down
         bool in_directory = true;
         std::optional<workers::worker_entry> shown;  ///< in the directory, while that is behind
         std::set<std::size_t> cut_off;
@@ -113,10 +120,18 @@
     void answer_list(const call_pointer& made);
     void end_run(worker& on, const run_key& key, workers::run_end how);
     void check_single_run(const worker& on, const workers::start_command& order);
+    void crash_under_task(const worker& on, const workers::start_command& order);
 
     virtual_time& m_time;
     receivers m_events;
     std::vector<worker> m_workers;
+
+    struct crash_count {
+        std::size_t crashes = 0;
+        std::size_t later_starts = 0;  ///< after the third crash
+    };
+    std::map<workers::task_ref, crash_count> m_crashes;
+    std::optional<std::size_t> m_last_crashed;
 };
 
 }  // namespace poplarshed::instance::test
--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -16,6 +16,10 @@
 // Late commands are executed after this delay plus a random part of the spread.
 constexpr milliseconds min_command_delay{2000};
 constexpr std::uint64_t command_delay_spread_ms = 10'000;
+// A task under which this many workers have crashed is started less often than the second number (users'
+// rule).
+constexpr std::size_t max_crashes = 3;
+constexpr std::size_t max_later_starts = 3;
 
 }  // namespace
 
@@ -27,7 +31,7 @@
 
 void virtual_site::deliver_command(std::uint64_t holder, const worker_id& to, milliseconds timeout, bool lost,
                                    bool late, const std::function<void(const respond&)>& at_worker,
-                                   const std::function<void(workers::pool&)>& unanswered)
+                                   const report_failure& failed)
 {
     virtual_worker& worker = at(to);
     const auto open = std::make_shared<bool>(true);
@@ -47,7 +51,11 @@
             after(travel(worker), [once, what] { once(what); });
         }
     };
-    after(timeout, [once, unanswered] { once(unanswered); });
+    const auto fail = [once, failed](list_failure cause) {
+        once([failed, cause](workers::pool& pool) { failed(pool, cause); });
+    };
+    after(timeout, [fail] { fail(list_failure::unanswered); });
+    worker.connections.emplace_back([fail] { fail(list_failure::lost); });
     if (late || is_duplicated) {
         const milliseconds command_delay =
             min_command_delay +
@@ -59,9 +67,11 @@
         });
     }
     if (!late && !worker.behaviour.unreachable && !lost) {
-        after(travel(worker), [reaches, at_worker, answer] {
+        after(travel(worker), [this, &worker, reaches, at_worker, answer, fail] {
             if (reaches()) {
                 at_worker(answer);
+            } else if (m_now < worker.up_at && worker.refuses) {
+                after(one_way, [fail] { fail(list_failure::gone); });
             }
         });
     }
@@ -133,9 +143,32 @@
     ++worker.starts;
     ++m_starts;
     m_started_jobs.insert(command.task.job);
+    crash_under_task(worker, command);
     return start_outcome::started;
 }
 
+void virtual_site::crash_under_task(const virtual_worker& worker, const start_command& command)
+{
+    const auto crashing = m_crashing.find(command.task.job);
+    if (crashing == m_crashing.end() || crashing->second.index != command.task.index) {
+        return;
+    }
+    crash_count& counted = m_crashes[command.task];
+    if (counted.crashes >= max_crashes && ++counted.later_starts >= max_later_starts) {
+        add_violation(command.task.job,
+                      "started three times more after three workers have crashed under it:");
+    }
+    const auto index = static_cast<std::size_t>(&worker - m_workers.data());
+    after(crashing->second.after, [this, index, command, crash = crashing->second] {
+        const virtual_worker& running = m_workers.at(index);
+        const auto found = running.runs.find(command.task);
+        if (found != running.runs.end() && found->second.number == command.run) {
+            ++m_crashes[command.task].crashes;
+            crash_worker(index, crash.down, crash.kind);
+        }
+    });
+}
+
 void virtual_site::execute(std::uint64_t holder, const start_command& command)
 {
     const auto reply = [this, command](workers::pool& pool, start_outcome reached,
@@ -151,7 +184,10 @@
             const std::int64_t clock = clock_ms(at(command.target.worker));
             answer([reply, reached, clock](workers::pool& pool) { reply(pool, reached, clock); });
         },
-        [reply](workers::pool& pool) { reply(pool, start_outcome::unanswered, std::nullopt); });
+        [reply](workers::pool& pool, list_failure cause) {
+            reply(pool, cause == list_failure::gone ? start_outcome::unreachable : start_outcome::unanswered,
+                  std::nullopt);
+        });
 }
 
 void virtual_site::execute_stop(const stop_command& command, const respond& answer)
@@ -189,7 +225,7 @@
         holder, command.target.worker, command.answer_within, happens(behaviour.lost_stops),
         happens(behaviour.delayed_commands),
         [this, command](const respond& answer) { execute_stop(command, answer); },
-        [this, command](workers::pool& pool) {
+        [this, command](workers::pool& pool, list_failure /*cause*/) {
             pool.on_stop_reply(m_now,
                                {command.target.worker, command.task, command.run, stop_outcome::failed});
         });
@@ -236,8 +272,8 @@
     deliver_command(
         holder, command.target.worker, command.answer_within, lost, happens(behaviour.delayed_commands),
         [this, command](const respond& answer) { execute_list(command, answer); },
-        [this, command](workers::pool& pool) {
-            pool.on_list_failure(m_now, command.target.worker, list_failure::unanswered);
+        [this, command](workers::pool& pool, list_failure cause) {
+            pool.on_list_failure(m_now, command.target.worker, cause);
         });
 }
 
--- a/tests/workers/virtual_workers.cpp
+++ b/tests/workers/virtual_workers.cpp
@@ -81,9 +81,15 @@
     m_holders.erase(m_holders.begin(), m_holders.end() - 1);
 }
 
-void virtual_site::crash_worker(std::size_t index, milliseconds down)
+void virtual_site::crash_worker(std::size_t index, milliseconds down, crash_kind kind)
 {
     virtual_worker& worker = m_workers.at(index);
+    worker.refuses = kind == crash_kind::refusing;
+    for (const auto& closed : std::exchange(worker.connections, {})) {
+        if (worker.refuses) {
+            after(milliseconds(1), closed);
+        }
+    }
     worker.runs.clear();
     worker.closed.clear();
     worker.ends.clear();
@@ -150,9 +156,12 @@
     process_actions();
 }
 
-void virtual_site::offer(const job_offer& offer, milliseconds work)
+void virtual_site::offer(const job_offer& offer, milliseconds work, std::optional<crashing_task> crashing)
 {
     m_jobs.emplace(offer.job, open_job{offer, m_now, work});
+    if (crashing) {
+        m_crashing.emplace(offer.job, *crashing);
+    }
     call_holder(m_last_holder,
                 [this, offer](workers::pool& pool) { pool.on_offer(m_now, offer.owner, offer); });
     process_actions();
@@ -374,6 +383,15 @@
     running.started = m_now;
 }
 
+std::size_t virtual_site::crashes_under(const job_id& job) const
+{
+    std::size_t most = 0;
+    for (const auto& [ref, counted] : m_crashes) {
+        most = ref.job == job ? std::max(most, counted.crashes) : most;
+    }
+    return most;
+}
+
 std::size_t virtual_site::count(job_end end) const
 {
     return static_cast<std::size_t>(
--- a/tests/workers/virtual_workers.h
+++ b/tests/workers/virtual_workers.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,20 @@
     bool guards_capacity = true;     ///< starts beyond the capacity are rejected
 };
 
+/// What callers see of a worker whose process has ended.
+enum class crash_kind {
+    dark,      ///< nothing answers, as after a loss of power
+    refusing,  ///< connections end, and new ones are refused
+};
+
+/// A task that crashes each worker which runs it.
+struct crashing_task {
+    std::uint32_t index = 0;  ///< in the first step
+    milliseconds after{};     ///< from its start to the crash
+    milliseconds down{3000};  ///< until the worker is back
+    crash_kind kind = crash_kind::refusing;
+};
+
 /// Simulates workers and one or two holders in virtual time. Records the results of jobs and every violated
 /// rule.
 class virtual_site {
@@ -38,7 +53,7 @@
     void replace_holder();
     void drop_former();
     /// Restarts the worker under the same id after the given downtime; its clock and counters restart at 0.
-    void crash_worker(std::size_t index, milliseconds down = {});
+    void crash_worker(std::size_t index, milliseconds down = {}, crash_kind kind = crash_kind::dark);
     /// @param rate speed of the worker's clock from now on; 1 is exact
     void set_clock_rate(std::size_t index, double rate);
     /// Removes the worker, which continues to run, from the directory, or lists it again.
@@ -51,7 +66,8 @@
     worker_behaviour& behaviour(std::size_t index) { return m_workers.at(index).behaviour; }
 
     /// @param work duration of each task on a worker of slowness 1
-    void offer(const job_offer& offer, milliseconds work);
+    /// @param crashing task that crashes its workers
+    void offer(const job_offer& offer, milliseconds work, std::optional<crashing_task> crashing = {});
     void advance(milliseconds time);
 
     pool& holder() { return *m_holders.back().pool; }
@@ -67,6 +83,8 @@
     std::size_t in_time() const;
     std::size_t starts() const { return m_starts; }
     std::size_t starts_on(std::size_t index) const { return m_workers.at(index).starts; }
+    /// Workers that tasks of the job have crashed; the highest number for one task.
+    std::size_t crashes_under(const job_id& job) const;
     /// Violated rules, each with the history of its job and of the workers.
     const std::vector<std::string>& violations() const { return m_violations; }
 
@@ -95,7 +113,9 @@
         std::vector<listed_end> ends;
         std::uint64_t last_end = 0;
         std::size_t starts = 0;
+        bool refuses = false;  ///< connections while it is down
         std::vector<std::function<void()>> waiting_lists;
+        std::vector<std::function<void()>> connections;  ///< called when the connection of a command ends
     };
 
     struct holder_state {
@@ -110,6 +130,12 @@
         milliseconds work{};
     };
 
+    /// Crashes under a task, and the starts of it after the third one.
+    struct crash_count {
+        std::size_t crashes = 0;
+        std::size_t later_starts = 0;
+    };
+
     /// Passes an answer to the simulated network, which delivers it to the pool of the sender.
     using respond = std::function<void(std::function<void(workers::pool&)>)>;
 
@@ -124,16 +150,21 @@
     void execute(std::uint64_t holder, const start_command& command);
     void execute(std::uint64_t holder, const stop_command& command);
     void execute(std::uint64_t holder, const list_command& command);
-    /// Delivers a command to a worker once, late, twice or never. The holder receives the answer or a
-    /// timeout.
+    /// Tells a holder that a command got no answer, and why.
+    using report_failure = std::function<void(workers::pool&, list_failure)>;
+
+    /// Delivers a command to a worker once, late, twice or never. The holder receives the answer, a timeout,
+    /// or the end of the connection.
     void deliver_command(std::uint64_t holder, const worker_id& to, milliseconds timeout, bool lost,
                          bool late, const std::function<void(const respond&)>& at_worker,
-                         const std::function<void(workers::pool&)>& unanswered);
+                         const report_failure& failed);
     /// Calls a holder's pool as soon as the holder is not paused.
     void call_holder(std::uint64_t holder, const std::function<void(workers::pool&)>& what);
     bool happens(double share) { return share > 0 && m_random.unit() < share; }
     milliseconds travel(const virtual_worker& worker);
     start_outcome execute_start(const start_command& command);
+    /// Counts a start of a task that crashes its workers, and crashes this one some time later.
+    void crash_under_task(const virtual_worker& worker, const start_command& command);
     void execute_list(const list_command& command, const respond& answer);
     void execute_stop(const stop_command& command, const respond& answer);
     void renew_lease(virtual_worker& worker, std::int64_t until_ms) const;
@@ -161,6 +192,8 @@
     bool m_commands_outlive_restarts = false;
     time_point m_worker_delisted_at;  ///< last removal of a worker from the directory
     std::map<job_id, open_job> m_jobs;
+    std::map<job_id, crashing_task> m_crashing;
+    std::map<task_ref, crash_count> m_crashes;
     std::map<job_id, outcome> m_outcomes;
     std::map<job_id, time_point> m_answered;
     std::set<job_id> m_started_jobs;
