--- a/source/common/verdict.cpp
+++ b/source/common/verdict.cpp
@@ -69,9 +69,9 @@
                   "The job ran, but its answer is no longer kept."},
     refusal_entry{refusal_reason::task_failed, "task_failed", 502,
                   "A task failed in a way that another attempt would not change."},
-    refusal_entry{
-        refusal_reason::attempts_exhausted, "attempts_exhausted", 502,
-        "A task failed in every attempt that its service, its verdicts and the retry budget allow."},
+    refusal_entry{refusal_reason::attempts_exhausted, "attempts_exhausted", 502,
+                  "A task failed, or crashed its worker, in every attempt that its service and the retry "
+                  "budget allow."},
     refusal_entry{refusal_reason::timed_out, "timed_out", 504,
                   "The deadline passed while tasks of the job ran."},
     refusal_entry{refusal_reason::cancelled, "cancelled", 409, "The caller's team cancelled the job."},
--- a/source/ctl/request_path.cpp
+++ b/source/ctl/request_path.cpp
@@ -33,7 +33,8 @@
     std::string_view limit;
 };
 
-constexpr std::array<decisive_message, 12> decisive_messages{{
+constexpr std::array<decisive_message, 13> decisive_messages{{
+    {"task_given_up", "workers crashed or fell silent under one of its tasks", "", ""},
     {"refused_too_late", "the job could no longer end in time", "waited", "left"},
     {"refused_no_worker", "no worker of the pool can take a task of this size", "", ""},
     {"waits_for_lapse", "the instance that ran the job was lost; its leases had to lapse first", "", ""},
@@ -104,6 +105,10 @@
             }
             std::string text =
                 "; decided by " + line->message + " of " + where(*line) + ": " + std::string(known.meaning);
+            const std::string detail = text_of(*line, "detail");
+            if (known.input.empty() && !detail.empty()) {
+                text += " (" + detail + ")";
+            }
             if (!known.input.empty()) {
                 text += ", " + std::string(known.input) + " " + text_of(*line, "input_ms") + " ms";
             }
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -280,7 +280,8 @@
 void daemon::execute(time_point now, routing::routing_action& action)
 {
     if (auto* out = std::get_if<routing::send_to_holder>(&action)) {
-        if (const auto* offer = std::get_if<workers::job_offer>(&out->message)) {
+        if (auto* offer = std::get_if<workers::job_offer>(&out->message)) {
+            offer->crashes = m_pools.crashes_of(offer->job);
             if (!has_caller(now, offer->job)) {
                 m_log.decision(now, {severity::info,
                                      telemetry::category::jobs,
--- a/source/instance/daemon_peers.cpp
+++ b/source/instance/daemon_peers.cpp
@@ -88,6 +88,21 @@
     m_router.on_result(now, message.holder, message);
 }
 
+void daemon::receive(time_point now, workers::job_crashes& message)
+{
+    m_pools.on_crashes(now, message);
+}
+
+// The job may be sent again through any instance, and may be held by any.
+void daemon::report_crashes(const workers::job_crashes& crashes)
+{
+    for (const endpoint& to : m_network_targets) {
+        if (to != m_settings.peers) {
+            m_network->send(to, crashes);
+        }
+    }
+}
+
 void daemon::receive(time_point now, workers::directory_pull& message)
 {
     if (message.configuration_only) {
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -76,6 +76,28 @@
             table.overdue_cpu_ms()};
 }
 
+flatbuffers::Offset<fb::task_crash> pack(builder& out, const workers::task_crash& value)
+{
+    return fb::Createtask_crash(out, value.step, value.index, wire::pack(out, value.worker),
+                                value.incarnation);
+}
+
+using crash_tables = flatbuffers::Vector<flatbuffers::Offset<fb::task_crash>>;
+
+/// Crashes of a verified vector, ascending; none where it is absent.
+std::vector<workers::task_crash> unpack_crashes(const crash_tables* tables)
+{
+    std::vector<workers::task_crash> crashes;
+    if (tables != nullptr) {
+        workers::merge_crashes(crashes, unpack_each(*tables, [](const fb::task_crash& item) {
+                                   return workers::task_crash{item.step(), item.index(),
+                                                              workers::worker_id(item.worker()->str()),
+                                                              item.incarnation()};
+                               }));
+    }
+    return crashes;
+}
+
 }  // namespace
 
 flatbuffers::Offset<fb::pool_offer> pack(builder& out, const workers::job_offer& value)
@@ -88,11 +110,12 @@
     const auto done = out.CreateVector(value.done_tasks);
     const auto owner = pack(out, value.owner);
     const auto uncertain = out.CreateVector(value.uncertain_tasks);
+    const auto crashes = pack_each(out, value.crashes, [&out](const auto& item) { return pack(out, item); });
     return fb::Createpool_offer(out, job, pool, service, payload, steps, value.priority, value.max_attempts,
                                 value.age.count(), value.objective.count(), value.deadline.count(),
                                 value.returns, value.may_have_run, done, owner, uncertain,
                                 value.uncertain_for.count(), value.number.value(), value.echoed_clock.count(),
-                                static_cast<std::uint8_t>(value.order), value.attempt.value());
+                                static_cast<std::uint8_t>(value.order), value.attempt.value(), crashes);
 }
 
 std::optional<workers::job_offer> unpack(const fb::pool_offer& table)
@@ -121,6 +144,7 @@
     }
     value.order = static_cast<workers::owner_order>(table.order());
     value.attempt = workers::offer_number(table.attempt());
+    value.crashes = unpack_crashes(table.crashes());
     return valid(value.steps) ? std::optional(std::move(value)) : std::nullopt;
 }
 
@@ -246,4 +270,16 @@
                                    table.configuration_only()};
 }
 
+flatbuffers::Offset<fb::job_crashes> pack(builder& out, const workers::job_crashes& value)
+{
+    const auto job = pack(out, value.job);
+    return fb::Createjob_crashes(
+        out, job, pack_each(out, value.crashes, [&out](const auto& item) { return pack(out, item); }));
+}
+
+std::optional<workers::job_crashes> unpack(const fb::job_crashes& table)
+{
+    return workers::job_crashes{workers::job_id(table.job()->str()), unpack_crashes(table.crashes())};
+}
+
 }  // namespace poplarshed::wire
--- /dev/null
+++ b/source/workers/crash_ledger.cpp
@@ -0,0 +1,42 @@
+#include "workers/crash_ledger.h"
+
+namespace poplarshed::workers {
+
+namespace {
+
+// Longer than callers send a job again after its last attempt.
+constexpr std::chrono::minutes retention{10};
+// Bounds the memory to about 2 MB.
+constexpr std::size_t max_jobs = 8192;
+
+}  // namespace
+
+bool crash_ledger::add(time_point now, const job_id& job, const std::vector<task_crash>& crashes)
+{
+    if (crashes.empty()) {
+        return false;
+    }
+    const auto [position, is_new] = m_jobs.try_emplace(job);
+    const bool added = merge_crashes(position->second, crashes);
+    if (is_new) {
+        m_order.push_back({now, job});
+        forget_old(now);
+    }
+    return added;
+}
+
+std::vector<task_crash> crash_ledger::find(const job_id& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? std::vector<task_crash>() : found->second;
+}
+
+void crash_ledger::forget_old(time_point now)
+{
+    while (!m_order.empty() && (m_order.size() > max_jobs || now > m_order.front().at + retention)) {
+        m_jobs.erase(m_order.front().job);
+        m_order.pop_front();
+    }
+}
+
+}  // namespace poplarshed::workers
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -55,6 +55,8 @@
     /// The statuses of the owner have timed out: jobs that it may have started elsewhere get no other owner
     /// until their runs have ended.
     void on_owner_timed_out(time_point now, const endpoint& owner);
+    /// Workers have crashed under tasks of a job, as far as any instance knows.
+    void on_crashes(time_point now, const job_id& id, const std::vector<task_crash>& crashes);
     void on_start_reply(time_point now, const start_reply& reply);
     void on_stop_reply(time_point now, const stop_reply& reply);
     void on_listing(time_point now, const listing& answer);
@@ -84,7 +86,12 @@
         std::uint32_t failures = 0;
         run_number run;
         worker_id worker;
-        worker_id avoid;  ///< worker on which the last run failed
+        worker_id avoid;               ///< worker on which the last run failed
+        std::uint32_t crashes = 0;     ///< workers that have crashed under the task
+        std::uint32_t suspicions = 0;  ///< crashes that no other task is known to have caused
+        /// Workers that fell silent under the task; each may have crashed, or may only be cut off.
+        std::uint32_t silent_losses = 0;
+        time_point retry_at;  ///< not started before, unless the silence is explained
     };
 
     struct job_record {
@@ -98,6 +105,7 @@
         std::vector<task_record> tasks;
         std::vector<std::uint32_t> first_task;          ///< global number of the first task of each step
         std::vector<std::uint32_t> unfinished_in_step;  ///< unfinished tasks of each step
+        std::vector<std::uint32_t> suspects_in_step;    ///< unfinished tasks that are suspected
         std::uint32_t waiting = 0;
         std::uint32_t done = 0;
         bool started = false;               ///< a start was sent by this or a former holder
@@ -122,6 +130,15 @@
         bool stopping = false;
         bool orphan = false;  ///< unknown to this pool when it was listed, and not claimed by an owner yet
         bool overdue = false;
+        bool isolated = false;       ///< no other task is started on the worker meanwhile
+        bool first_suspect = false;  ///< its task is the most likely cause of an earlier crash
+        bool process_ended = false;  ///< the worker has crashed after the start was sent
+    };
+
+    /// A run that ended while its worker was silent, so that it is not known whether the worker crashed.
+    struct silent_loss {
+        task_ref task;
+        std::uint64_t incarnation = 0;  ///< of the worker
     };
 
     /// A start that the worker never confirmed and that may be executed late.
@@ -156,7 +173,10 @@
         std::uint64_t incarnation = 0;
         std::uint64_t acknowledged = 0;
         std::map<task_ref, run_record> runs;
-        std::map<task_ref, abandoned_run> abandoned;  ///< may be executed late
+        std::map<task_ref, abandoned_run> abandoned;       ///< may be executed late
+        std::vector<silent_loss> silent_losses;            ///< not explained yet
+        bool process_ended = false;                        ///< since the last list that was answered
+        std::optional<std::uint64_t> leaving_incarnation;  ///< the last one that announced its end
         resources used;
         speed_estimate speed;
         unsigned failures_in_row = 0;
@@ -219,8 +239,18 @@
     // Scheduling
     void schedule(time_point now);
     bool place_task(time_point now, job_record& job, std::uint32_t number);
-    std::optional<worker_id> select_worker(time_point now, const job_record& job, std::uint32_t number);
-    void start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker);
+    /// @param isolated only idle workers
+    std::optional<worker_id> select_worker(time_point now, const job_record& job, std::uint32_t number,
+                                           bool isolated);
+    void start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker,
+                    bool isolated);
+    /// True if tasks of the job may be started now.
+    bool may_start_tasks(time_point now, const job_record& job) const;
+    /// True if all runs are known that a former holder of the job has started.
+    bool knows_former_runs(time_point now, const job_record& job) const;
+    bool follows_finished_steps(const job_record& job, std::uint32_t number) const;
+    /// True if the task waits for nothing but a worker.
+    bool is_ready(time_point now, const job_record& job, std::uint32_t number) const;
     bool is_usable(time_point now, const worker_record& worker) const;
     /// True when every worker has answered a list that was sent at or after this time.
     bool all_workers_listed(time_point since) const;
@@ -244,6 +274,53 @@
     std::size_t unanswered_starts() const;
     /// Part of the objective that is needed to send the start and to receive the end of a task.
     milliseconds reporting_time() const;
+    // Tasks that crash their workers
+    /// The incarnation of a worker that was heard last.
+    static std::uint64_t incarnation_of(const worker_record& worker);
+    /// True if the worker's present incarnation has announced that it leaves.
+    static bool has_announced_end(const worker_record& worker);
+    /// Ends the runs of a worker whose process has ended.
+    /// @param unconfirmed also those that the worker has not confirmed; otherwise they end with their lease,
+    ///   since the worker's next process may execute a late start
+    void on_process_ended(time_point now, worker_record& worker, std::string_view evidence, bool unconfirmed);
+    /// Notes a run that has ended while its worker was silent.
+    void add_silent_loss(time_point now, worker_record& worker, const task_ref& ref);
+    /// Tells crashes from cuts after a silence.
+    /// @param present the worker's incarnation; nothing if no process is left
+    void explain_silence(time_point now, worker_record& worker, std::optional<std::uint64_t> present);
+    void count_crash(time_point now, const worker_id& worker, std::uint64_t incarnation, const task_ref& ref);
+    static bool is_suspect(const task_record& task);
+    /// Notes which tasks ran on a crashed worker.
+    void add_crash_group(const worker_record& worker, std::vector<task_ref> tasks);
+    /// True if no other task that ran on a worker which crashed under this one is to be tried before it.
+    bool is_first_suspect(time_point now, const job_record& job, std::uint32_t number) const;
+    bool is_open(time_point now, const task_ref& ref) const;
+    /// A task is known to crash its workers: clears the tasks that only shared them.
+    void clear_neighbours(time_point now, const job_record& job, const task_ref& culprit);
+    void forget_crash_groups(time_point now);
+    /// Number of the task in the job; nothing if the job has no such task.
+    static std::optional<std::uint32_t> find_task(const job_record& job, std::uint32_t step,
+                                                  std::uint32_t index);
+    /// Counts the known crashes of each task.
+    void count_known_crashes(job_record& job) const;
+    void count_suspects(job_record& job) const;
+    /// Answers an offer of a job under a task of which too many workers have crashed. @returns false for
+    /// others
+    bool refuse_crashing(const endpoint& owner, const job_offer& offer);
+    /// Ends the job if too many workers were lost under a task.
+    void give_up_if_crashing(time_point now, const job_id& id);
+    /// Starts suspected tasks, each alone on a worker, and keeps workers free for those that wait.
+    void start_suspects(time_point now, const std::vector<job_record*>& waiting, std::size_t& window);
+    /// Numbers of further workers on which suspected tasks may run.
+    struct suspect_limits {
+        std::size_t workers = 0;
+        std::size_t crashes = 0;  ///< workers that are likely to crash
+        std::size_t window = 0;   ///< starts that may wait for an answer
+    };
+    void start_suspects_of(time_point now, job_record& job, suspect_limits& left);
+    suspect_limits limits_for_suspects(time_point now);
+    /// The worker that is expected to be idle first; nothing if none can take the task.
+    std::optional<worker_id> next_idle_worker(time_point now, const job_step& step) const;
     // Runs
     /// The worker has confirmed the run, so lists sent from now on contain it until it ends.
     static void confirm_run(const worker_record& worker, run_record& run);
@@ -266,7 +343,6 @@
     void send_list(time_point now, worker_record& worker);
     /// Time by which all runs on a worker must have ended unless an owner renews its grant.
     time_point lease_limit(const worker_record& worker) const;
-    void expire_all_runs(time_point now, worker_record& worker, std::string_view cause);
     /// Ends the runs whose lease has expired.
     void expire_runs(time_point now, worker_record& worker);
     void update_clock_offset(time_point now, worker_record& worker, std::int64_t clock_ms);
@@ -297,6 +373,12 @@
     std::map<task_ref, time_point> m_orphan_ends;  ///< finished before their job was claimed
     std::vector<pool_load> m_other_pools;
     std::map<job_id, std::vector<std::uint32_t>> m_finished_tasks;
+    std::set<worker_id> m_kept_free;                        ///< for suspected tasks
+    std::map<worker_id, time_point> m_crashed_by_suspects;  ///< workers that are not back yet
+    using worker_life = std::pair<worker_id, std::uint64_t>;
+    /// Tasks that ran on a crashed worker, the one that was started last first.
+    std::map<worker_life, std::vector<task_ref>> m_crash_groups;
+    std::map<worker_life, time_point> m_explained_crashes;  ///< whose cause is known
     std::vector<action> m_actions;
 };
 
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -56,6 +56,7 @@
 void pool::on_offer(time_point now, const endpoint& owner, job_offer offer)
 {
     const auto granted = grant_expiry(now, offer.echoed_clock);
+    on_crashes(now, offer.job, offer.crashes);
     job_record* const known = find_job(offer.job);
     // An order says who may start the job, and is no permission itself.
     const bool order_only = known == nullptr && offer.order == owner_order::only;
@@ -80,6 +81,9 @@
         on_known_offer(now, *known, owner, offer, *granted);
         return;
     }
+    if (refuse_crashing(owner, offer)) {
+        return;
+    }
     if (m_fenced && order_only) {
         job_result answer;
         answer.job = offer.job;
@@ -101,6 +105,7 @@
     for (const job_step& step : offer.steps) {
         job.first_task.push_back(static_cast<std::uint32_t>(job.tasks.size()));
         job.unfinished_in_step.push_back(step.tasks);
+        job.suspects_in_step.push_back(0);
         job.tasks.resize(job.tasks.size() + step.tasks);
     }
     job.waiting = static_cast<std::uint32_t>(job.tasks.size());
@@ -111,6 +116,7 @@
     for (const std::uint32_t number : job.offer.done_tasks) {
         mark_done(job, number);
     }
+    count_known_crashes(job);
     adopt_runs(now, job);
     // Tasks may have been started for a former owner, so a refusal would not be true, and the job must not
     // move to another pool.
@@ -226,6 +232,7 @@
             job.tasks[number].state = run.stopping ? task_state::stopping : task_state::running;
             job.tasks[number].run = run.number;
             job.tasks[number].worker = id;
+            run.isolated = is_suspect(job.tasks[number]);
             job.started = true;
             --job.waiting;
         }
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -75,6 +75,9 @@
         const bool restarted = !added && worker.entry.incarnation != entry.incarnation;
         worker.present = true;
         worker.entry = entry;
+        if (entry.draining) {
+            worker.leaving_incarnation = entry.incarnation;
+        }
         if (restarted) {
             // An answer of the previous incarnation may still be in transit.
             worker.clock_offset_ms.reset();
@@ -257,21 +260,24 @@
     const bool list_state_lost =
         worker.unreachable || !worker.listed || answer.incarnation != worker.incarnation;
     worker.list_pending = false;
+    worker.process_ended = false;
     worker.answered_list_sent = worker.list_sent;
     worker.unanswered_lists = 0;
     if (worker.unreachable) {
         worker.unreachable = false;
         record(decision::worker_back, {}, answer.worker, {}, elapsed(now, worker.list_sent));
     }
-    if (worker.incarnation != 0 && answer.incarnation != worker.incarnation) {
+    const bool restarted = worker.incarnation != 0 && answer.incarnation != worker.incarnation;
+    const bool crashed = restarted && !has_announced_end(worker);
+    if (restarted) {
         // The new incarnation numbers its ends from the beginning. A start in transit may run in it, so runs
         // are still compared with the list as usual.
-        record(decision::worker_lapsed, {}, answer.worker, "restarted",
+        record(crashed ? decision::worker_crashed : decision::worker_lapsed, {}, answer.worker, "restarted",
                milliseconds(static_cast<std::int64_t>(worker.runs.size())));
         worker.acknowledged = 0;
         on_worker_restart(now, worker);
     }
-    worker.incarnation = answer.incarnation;
+    explain_silence(now, worker, answer.incarnation);
     if (worker.lists_sent >= worker.first_clock_list) {
         update_clock_offset(now, worker, answer.clock_ms);
     } else {
@@ -323,9 +329,17 @@
             missing.push_back(ref);
         }
     }
+    if (crashed) {
+        add_crash_group(worker, missing);
+    }
     for (const task_ref& ref : missing) {
-        end_run(now, worker, ref, run_end::lapsed);
+        end_run(now, worker, ref, crashed ? run_end::crashed : run_end::lapsed);
     }
+    for (auto& [ref, run] : worker.runs) {
+        run.process_ended =
+            run.process_ended || (crashed && run.sent <= worker.list_sent && !present.contains(ref));
+    }
+    worker.incarnation = answer.incarnation;
     if (!worker.runs.empty() || worker.ends_pending) {
         send_list(now, worker);
     }
@@ -349,13 +363,15 @@
         return;
     }
     if (cause == list_failure::other_incarnation) {
-        expire_all_runs(now, worker, "replaced");
-        worker.listed = false;
+        on_process_ended(now, worker, "replaced", true);
         return;
     }
+    if (cause == list_failure::gone) {
+        on_process_ended(now, worker, to_string(cause), false);
+    }
     // The worker is reachable if it has answered another command since the list was sent.
-    const bool reachable =
-        worker.last_answer_at > worker.list_sent && worker.unanswered_lists <= max_immediate_lists;
+    const bool reachable = cause != list_failure::gone && worker.last_answer_at > worker.list_sent &&
+                           worker.unanswered_lists <= max_immediate_lists;
     if (!worker.unreachable && !reachable) {
         worker.unreachable = true;
         record(decision::worker_silent, {}, id, std::string(to_string(cause)), elapsed(now, worker.list_sent),
@@ -363,15 +379,6 @@
     }
 }
 
-void pool::expire_all_runs(time_point now, worker_record& worker, std::string_view cause)
-{
-    record(decision::worker_lapsed, {}, worker.entry.id, std::string(cause),
-           milliseconds(static_cast<std::int64_t>(worker.runs.size())));
-    while (!worker.runs.empty()) {
-        end_run(now, worker, task_ref(worker.runs.begin()->first), run_end::lapsed);
-    }
-}
-
 void pool::expire_runs(time_point now, worker_record& worker)
 {
     std::vector<task_ref> expired;
@@ -386,8 +393,15 @@
     worker.listed = false;
     record(decision::worker_lapsed, {}, worker.entry.id, "lease lapsed",
            milliseconds(static_cast<std::int64_t>(expired.size())));
+    // The directory may know of a next incarnation before the worker answers.
+    const bool replaced = worker.incarnation != 0 && worker.entry.incarnation > worker.incarnation;
     for (const task_ref& ref : expired) {
-        end_run(now, worker, ref, run_end::lapsed);
+        if (worker.runs.at(ref).process_ended || (replaced && !has_announced_end(worker))) {
+            end_run(now, worker, ref, run_end::crashed);
+        } else {
+            end_run(now, worker, ref, run_end::lapsed);
+            add_silent_loss(now, worker, ref);
+        }
     }
 }
 
@@ -402,6 +416,7 @@
 {
     if (!run.first_list_with_run) {
         run.first_list_with_run = worker.lists_sent + 1;
+        run.process_ended = false;
     }
 }
 
@@ -441,7 +456,8 @@
     const run_record ended = found->second;
     worker.runs.erase(found);
     worker.used = worker.used.minus(ended.need);
-    if (!ended.first_list_with_run && (ended.stopping || end == run_end::lapsed)) {
+    const bool lost = end == run_end::lapsed || end == run_end::crashed;
+    if (!ended.first_list_with_run && (ended.stopping || lost)) {
         worker.abandoned.insert_or_assign(ref, abandoned_run{ended.number, now});
     }
     record(decision::run_ended, ref.job, worker.entry.id, std::string(to_string(end)),
@@ -454,6 +470,11 @@
         }
     } else if (end == run_end::failed) {
         record_failure(now, worker, ref.job);
+    } else if (end == run_end::crashed) {
+        if (ended.isolated) {
+            m_crashed_by_suspects[worker.entry.id] = now;
+        }
+        count_crash(now, worker.entry.id, incarnation_of(worker), ref);
     }
     job_record* job = find_job(ref.job);
     if (job == nullptr || ended.orphan) {
@@ -471,6 +492,7 @@
         task.state = task_state::done;
         ++job->done;
         --job->unfinished_in_step.at(ref.step);
+        count_suspects(*job);
         m_finished_tasks[ref.job].push_back(number);
         if (job->done == job->tasks.size()) {
             m_finished_tasks.erase(ref.job);
@@ -576,6 +598,7 @@
     }
     expire_grants(now);
     forget_released_owners(now);
+    forget_crash_groups(now);
     const time_point listed_since = lists_needed_since(now);
     for (auto& [id, worker] : m_workers) {
         check_runs(now, worker);
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -215,17 +215,19 @@
     std::size_t window = m_path.window();
     window -= std::min(window, unanswered_starts());
     m_window_full = window == 0;
-    for (job_record* job : waiting_in_order(now)) {
-        // The owner may assign the job to another holder some time after the grant has expired.
-        // An owner that has only asked for the order does not expect the job to be started here.
-        if (now > job->granted_until || has_other_owner(*job) || job->offer.order == owner_order::only) {
+    const std::vector<job_record*> waiting = waiting_in_order(now);
+    start_suspects(now, waiting, window);
+    m_window_full = window == 0;
+    for (job_record* job : waiting) {
+        if (!may_start_tasks(now, *job)) {
             continue;
         }
-        const bool former_runs_known =
-            now >= job->uncertain_until || all_workers_listed(last_former_start(*job));
+        const bool former_runs_known = knows_former_runs(now, *job);
         for (std::uint32_t number = 0; number < job->tasks.size() && job->waiting > 0 && window > 0;
              ++number) {
+            // Tasks of a step share a payload. While one of them is suspected, the others wait.
             if (job->tasks[number].state != task_state::waiting ||
+                job->suspects_in_step.at(ref_of(*job, number).step) > 0 ||
                 (!former_runs_known && job->uncertain.contains(number))) {
                 continue;
             }
@@ -238,22 +240,47 @@
     }
 }
 
+// The owner may assign the job to another holder some time after the grant has expired. An owner that has
+// only asked for the order does not expect the job to be started here.
+bool pool::may_start_tasks(time_point now, const job_record& job) const
+{
+    return now <= job.granted_until && !has_other_owner(job) && job.offer.order != owner_order::only;
+}
+
+bool pool::knows_former_runs(time_point now, const job_record& job) const
+{
+    return now >= job.uncertain_until || all_workers_listed(last_former_start(job));
+}
+
+bool pool::follows_finished_steps(const job_record& job, std::uint32_t number) const
+{
+    const std::vector<std::uint32_t>& after = step_of(job, number).after;
+    return std::all_of(after.begin(), after.end(),
+                       [&job](std::uint32_t earlier) { return job.unfinished_in_step.at(earlier) == 0; });
+}
+
+bool pool::is_ready(time_point now, const job_record& job, std::uint32_t number) const
+{
+    const task_record& task = job.tasks[number];
+    return task.state == task_state::waiting && now >= task.retry_at && follows_finished_steps(job, number) &&
+           (!job.uncertain.contains(number) || knows_former_runs(now, job));
+}
+
 bool pool::place_task(time_point now, job_record& job, std::uint32_t number)
 {
-    for (const std::uint32_t earlier : step_of(job, number).after) {
-        if (job.unfinished_in_step.at(earlier) > 0) {
-            return false;
-        }
+    if (!follows_finished_steps(job, number)) {
+        return false;
     }
-    const auto chosen = select_worker(now, job, number);
+    const auto chosen = select_worker(now, job, number, false);
     if (!chosen) {
         return false;
     }
-    start_task(now, job, number, m_workers.at(*chosen));
+    start_task(now, job, number, m_workers.at(*chosen), false);
     return true;
 }
 
-std::optional<worker_id> pool::select_worker(time_point now, const job_record& job, std::uint32_t number)
+std::optional<worker_id> pool::select_worker(time_point now, const job_record& job, std::uint32_t number,
+                                             bool isolated)
 {
     const job_step& step = step_of(job, number);
     const task_record& task = job.tasks[number];
@@ -272,12 +299,16 @@
         const auto& labels = worker.entry.labels;
         const bool labelled = step.required_label.empty() ||
                               std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
+        const bool isolates = isolated ? !worker.runs.empty()
+                                       : std::any_of(worker.runs.begin(), worker.runs.end(),
+                                                     [](const auto& entry) { return entry.second.isolated; });
         const auto same_step = [&](const auto& entry) {
             return entry.first.job == job.offer.job && entry.first.step == step_index;
         };
         // A worker restored after an ejection gets one task at a time until a task succeeds.
         const bool probing = worker.failures_in_row > 0 && worker.ejections > 0 && !worker.runs.empty();
-        if (!left.fits(step.need) || !labelled || id == task.avoid || probing ||
+        if (!left.fits(step.need) || !labelled || id == task.avoid || probing || isolates ||
+            m_kept_free.contains(id) ||
             (step.max_per_worker > 0 && std::count_if(worker.runs.begin(), worker.runs.end(), same_step) >=
                                             static_cast<std::ptrdiff_t>(step.max_per_worker))) {
             continue;
@@ -286,13 +317,15 @@
             {ids.size(), expected_duration(now, worker, step), left.cpu_milli - step.need.cpu_milli});
         ids.push_back(&id);
     }
-    const bool scarce = static_cast<double>(used) > static_cast<double>(capacity) * scarce_share;
+    // A suspected task may cost its worker, so that a slow one serves, too.
+    const bool scarce = isolated || static_cast<double>(used) > static_cast<double>(capacity) * scarce_share;
     const time_point until = job.started ? job.deadline_at : job.useful_until;
     const auto chosen = choose_worker(candidates, {now, job.objective_at, until, scarce});
     return chosen ? std::optional(*ids.at(*chosen)) : std::nullopt;
 }
 
-void pool::start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker)
+void pool::start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker,
+                      bool isolated)
 {
     const job_step& step = step_of(job, number);
     const task_ref ref = ref_of(job, number);
@@ -310,11 +343,13 @@
     created.estimate = step.estimate;
     created.expected = expected_duration(now, worker, step);
     created.sent = now;
+    created.isolated = isolated;
     run_record& run = worker.runs.insert_or_assign(ref, created).first->second;
     run.lease_until_ms = worker_time(std::min(now + m_options.lease, lease_limit(worker)), worker);
     worker.used = worker.used.plus(step.need);
     extend_leases(now, worker);
-    record(decision::started, job.offer.job, worker.entry.id, std::to_string(number), created.expected,
+    record(decision::started, job.offer.job, worker.entry.id,
+           std::to_string(number) + (isolated ? " alone" : ""), created.expected,
            std::chrono::duration_cast<milliseconds>(job.objective_at - now));
     m_actions.emplace_back(start_command{{worker.entry.id, worker.entry.address},
                                          ref,
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -1,5 +1,6 @@
 #include "workers/types.h"
 
+#include <algorithm>
 #include <array>
 
 namespace poplarshed::workers {
@@ -11,10 +12,10 @@
     "start_failed",   "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
     "worker_silent",  "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
     "fenced",         "offer_expired",     "grant_ended",      "owner_superseded",  "owner_admitted",
-    "owner_released", "awaits_owner"};
+    "owner_released", "awaits_owner",      "worker_crashed",   "task_suspected",    "task_given_up"};
 
-constexpr std::array<std::string_view, run_end_count> run_end_names{"done",   "failed",     "stopped",
-                                                                    "lapsed", "peer_ended", "peers_missing"};
+constexpr std::array<std::string_view, run_end_count> run_end_names{
+    "done", "failed", "stopped", "lapsed", "peer_ended", "peers_missing", "crashed"};
 
 constexpr std::array<std::string_view, list_failure_count> list_failure_names{
     "fenced", "other_incarnation", "refused", "unanswered", "connection lost", "connection refused"};
@@ -44,6 +45,19 @@
     return run_end_names.at(static_cast<std::size_t>(value));
 }
 
+bool merge_crashes(std::vector<task_crash>& known, const std::vector<task_crash>& more)
+{
+    bool added = false;
+    for (const task_crash& crash : more) {
+        const auto position = std::lower_bound(known.begin(), known.end(), crash);
+        if (position == known.end() || *position != crash) {
+            known.insert(position, crash);
+            added = true;
+        }
+    }
+    return added;
+}
+
 bool is_routine(const decision_record& record)
 {
     switch (record.kind) {
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -73,6 +73,29 @@
     bool operator==(const job_step&) const = default;
 };
 
+/// A crash of a worker while it ran a task of a job.
+struct task_crash {
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;  ///< of the task within the step
+    worker_id worker;
+    std::uint64_t incarnation = 0;  ///< of the worker
+
+    auto operator<=>(const task_crash&) const = default;
+};
+
+/// Adds the crashes that are not known yet.
+/// @param known ascending, also afterwards
+/// @returns true if there were any
+bool merge_crashes(std::vector<task_crash>& known, const std::vector<task_crash>& more);
+
+/// Message to all instances: workers that have crashed under tasks of a job.
+struct job_crashes {
+    job_id job;
+    std::vector<task_crash> crashes;
+
+    bool operator==(const job_crashes&) const = default;
+};
+
 /// Part of a holder in ordering the owners of a job. A caller may have sent the job through several
 /// instances; one holder, the same for all of them, admits one owner at a time.
 enum class owner_order : std::uint8_t {
@@ -104,7 +127,8 @@
     offer_number number{};                  ///< of this offer; each further offer of the job has a new number
     milliseconds echoed_clock{};            ///< latest clock reading of the holder that the owner received
     owner_order order = owner_order::elsewhere;
-    offer_number attempt{};  ///< number of the first offer for the same request of the caller
+    offer_number attempt{};           ///< number of the first offer for the same request of the caller
+    std::vector<task_crash> crashes;  ///< known so far, ascending
 
     bool operator==(const job_offer&) const = default;
 };
@@ -306,8 +330,16 @@
     stop_outcome outcome = stop_outcome::failed;
 };
 
-enum class run_end { done, failed, stopped, lapsed, peer_ended, peers_missing };
-inline constexpr std::size_t run_end_count = 6;
+enum class run_end {
+    done,
+    failed,
+    stopped,
+    lapsed,
+    peer_ended,
+    peers_missing,
+    crashed,  ///< concluded by the holder: the worker's process has ended without notice
+};
+inline constexpr std::size_t run_end_count = 7;
 
 struct listed_run {
     task_ref task;
@@ -373,8 +405,11 @@
     owner_admitted,    ///< the owner may have the job started in another pool
     owner_released,    ///< the owner works on the job no longer
     awaits_owner,      ///< the job waits until the runs of its former owner have ended
+    worker_crashed,    ///< its process has ended without notice
+    task_suspected,    ///< workers were lost under the task, which runs alone on a worker from now on
+    task_given_up,     ///< too many workers were lost under the task
 };
-inline constexpr std::size_t decision_count = 22;
+inline constexpr std::size_t decision_count = 25;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
@@ -399,6 +434,7 @@
 /// True for decisions in the normal course of a job, false for those that explain a failure.
 bool is_routine(const decision_record& record);
 
-using action = std::variant<start_command, stop_command, list_command, owner_notification, decision_record>;
+using action =
+    std::variant<start_command, stop_command, list_command, owner_notification, job_crashes, decision_record>;
 
 }  // namespace poplarshed::workers
--- a/tests/ctl/request_path_test.cpp
+++ b/tests/ctl/request_path_test.cpp
@@ -149,6 +149,20 @@
     BOOST_TEST(has(text, "294 ms"));
 }
 
+// Guards against a failed job whose operator cannot tell that it was given up, and for which task.
+BOOST_AUTO_TEST_CASE(a_job_that_was_given_up_names_the_task)
+{
+    logs files;
+    files.add("front-1", {line_of("10.000", "front-1", job, "received"),
+                          line_of("10.080", "front-1", job, "task_given_up",
+                                  {{"detail", "task 0.3: 2 workers crashed, 0 fell silent"}}),
+                          line_of("10.081", "front-1", job, "answered",
+                                  {{"detail", "failed: attempts_exhausted"}, {"input_ms", 81}})});
+    const std::string text = files.find(job).conclusion;
+    BOOST_TEST(has(text, "answered failed: attempts_exhausted after 81 ms"));
+    BOOST_TEST(has(text, "task 0.3: 2 workers crashed"));
+}
+
 BOOST_AUTO_TEST_CASE(a_completed_job_has_no_cause)
 {
     logs files;
--- a/tests/instance/fleet_crashes_test.cpp
+++ b/tests/instance/fleet_crashes_test.cpp
@@ -45,12 +45,11 @@
 }
 
 /// Sends a job whose task crashes its workers, and adds a fault some time after the first crash.
-/// @returns the highest number of workers that the task has crashed in any schedule
-std::size_t most_crashes(fault added)
+/// @param allowed workers that the task may crash in each schedule
+void check_crashes(fault added, std::size_t allowed)
 {
     const std::uint64_t first = number_from("POPLARSHED_FIRST_SEED", default_first_seed);
     const std::uint64_t last = first + number_from("POPLARSHED_SCHEDULE_SEEDS", default_seeds);
-    std::size_t most = 0;
     for (std::uint64_t seed = first; seed < last; ++seed) {
         virtual_fleet fleet(seed, {2 + seed % 2, 2});
         fleet.advance(warm_up);
@@ -66,12 +65,13 @@
         while (!fleet.callers().has_ended(job) && fleet.time().now() < until && fleet.violations().empty()) {
             fleet.advance(milliseconds(20));
         }
-        most = std::max(most, fleet.workers().crashes_under(job));
+        const std::size_t crashes = fleet.workers().crashes_under(job);
+        BOOST_TEST(crashes <= allowed,
+                   "seed " << seed << ": " << crashes << " crashes" << fleet.time().history(job));
         BOOST_TEST(fleet.callers().has_ended(job), "seed " << seed << ": no answer");
         BOOST_TEST(fleet.violations().empty(),
                    "seed " << seed << ": " << (fleet.violations().empty() ? "" : fleet.violations().front()));
     }
-    return most;
 }
 
 void run_step(virtual_fleet& fleet)
@@ -100,31 +100,31 @@
 // Guards against a task that takes down one worker after the other.
 BOOST_AUTO_TEST_CASE(it_is_given_up_after_two_workers)
 {
-    BOOST_TEST(most_crashes(no_fault) <= max_crashes);
+    check_crashes(no_fault, max_crashes);
 }
 
 // Guards against a count that is lost with the holder that has counted; one crash may not be reported yet.
 BOOST_AUTO_TEST_CASE(a_killed_holder_takes_at_most_one_crash_with_it)
 {
-    BOOST_TEST(most_crashes(kill_holder) <= max_crashes + 1);
+    check_crashes(kill_holder, max_crashes + 1);
 }
 
 // Guards against a count that is lost when the pool gets another holder.
 BOOST_AUTO_TEST_CASE(a_paused_holder_takes_at_most_one_crash_with_it)
 {
-    BOOST_TEST(most_crashes(pause_holder) <= max_crashes + 1);
+    check_crashes(pause_holder, max_crashes + 1);
 }
 
 // Guards against a count that begins anew when the job is sent again through another instance.
 BOOST_AUTO_TEST_CASE(a_killed_owner_takes_no_crash_with_it)
 {
-    BOOST_TEST(most_crashes(kill_owner) <= max_crashes + 1);
+    check_crashes(kill_owner, max_crashes + 1);
 }
 
 // Guards against the same while the first instance works on.
 BOOST_AUTO_TEST_CASE(a_resubmission_through_another_instance_does_not_begin_anew)
 {
-    BOOST_TEST(most_crashes(break_caller) <= max_crashes);
+    check_crashes(break_caller, max_crashes);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/instance/fleet_messages.cpp
+++ b/tests/instance/fleet_messages.cpp
@@ -33,6 +33,9 @@
         return "result " + std::string(to_string(result->end)) +
                (result->may_have_run ? ", may have run" : "");
     }
+    if (const auto* crashes = std::get_if<workers::job_crashes>(&message)) {
+        return "report of " + std::to_string(crashes->crashes.size()) + " crashes";
+    }
     return std::holds_alternative<workers::job_cancel>(message) ? "cancel" : "progress";
 }
 
@@ -114,6 +117,18 @@
     m_router.on_result(now, message.holder, message);
 }
 
+void virtual_instance::handle(time_point now, workers::job_crashes& message)
+{
+    m_pools.on_crashes(now, message);
+}
+
+void virtual_instance::report_crashes(const workers::job_crashes& crashes)
+{
+    for (const endpoint& to : m_targets) {
+        send(local_time(), to, crashes);
+    }
+}
+
 void virtual_instance::send(time_point now, const endpoint& to, fleet_message message)
 {
     const std::string job = job_of(message);
@@ -142,7 +157,8 @@
 void virtual_instance::execute(time_point now, routing::routing_action& action)
 {
     if (auto* out = std::get_if<routing::send_to_holder>(&action)) {
-        if (const auto* offer = std::get_if<workers::job_offer>(&out->message)) {
+        if (auto* offer = std::get_if<workers::job_offer>(&out->message)) {
+            offer->crashes = m_pools.crashes_of(offer->job);
             if (!has_caller(now, offer->job)) {
                 return;
             }
--- a/tests/instance/fleet_workers.cpp
+++ b/tests/instance/fleet_workers.cpp
@@ -140,6 +140,7 @@
     on.token = {};
     on.lease_until = 0;
     on.refuses = false;
+    on.calls.clear();
     ++on.entry.incarnation;
 }
 
@@ -180,7 +181,7 @@
                            std::function<void(order_answer)> answer)
 {
     const std::size_t target = index_of(target_of(order.order));
-    const worker& on = m_workers.at(target);
+    worker& on = m_workers.at(target);
     const auto made = std::make_shared<call>(
         call{sender, target, on.entry.incarnation, order.order, std::move(answer), false, milliseconds(1)});
     m_time.after(timeout_of(order.order), [made] {
@@ -200,6 +201,7 @@
     if (!on.up || on.cut_off.contains(sender) || m_time.chance(faults.lost)) {
         return;
     }
+    on.calls.push_back(made);
     milliseconds delay = milliseconds(1) + m_time.between({}, faults.slow_down);
     if (m_time.chance(faults.deferred)) {
         made->answered = true;
@@ -283,6 +285,22 @@
     return start_outcome::started;
 }
 
+void virtual_workers::close_connections(worker& on)
+{
+    for (const std::weak_ptr<call>& known : std::exchange(on.calls, {})) {
+        const call_pointer made = known.lock();
+        if (made == nullptr || on.cut_off.contains(made->sender)) {
+            continue;
+        }
+        m_time.after(milliseconds(1), [made] {
+            if (!std::exchange(made->answered, true)) {
+                const bool list = std::holds_alternative<workers::list_command>(made->order);
+                made->answer(list ? order_answer(workers::list_failure::lost) : no_answer(made->order));
+            }
+        });
+    }
+}
+
 void virtual_workers::crash_under_task(const worker& on, const workers::start_command& order)
 {
     crash_count& counted = m_crashes[order.task];
@@ -301,6 +319,7 @@
                     running.entry.id.value() + " crashes under task " + std::to_string(key.first.index));
         ++m_crashes[key.first].crashes;
         m_last_crashed = index;
+        close_connections(running);
         crash(index);
         running.refuses = true;
         m_time.after(crash_downtime, [this, index] { come_back(index); });
--- a/tests/instance/fleet_workers.h
+++ b/tests/instance/fleet_workers.h
@@ -75,6 +75,7 @@
         std::optional<time_point> stops_at;
     };
     using run_key = std::pair<workers::task_ref, workers::run_number>;
+    struct call;
 
     struct worker {
         workers::worker_entry entry;
@@ -94,6 +95,7 @@
         std::vector<workers::listed_end> ends;
         std::uint64_t last_end = 0;
         std::vector<std::function<void()>> waiting_lists;
+        std::vector<std::weak_ptr<call>> calls;  ///< of the present process, ended ones included
     };
 
     /// One order on its way, and what its sender waits for.
@@ -120,6 +122,8 @@
     void answer_list(const call_pointer& made);
     void end_run(worker& on, const run_key& key, workers::run_end how);
     void check_single_run(const worker& on, const workers::start_command& order);
+    /// Ends the connections of the calls that have no answer yet.
+    void close_connections(worker& on);
     void crash_under_task(const worker& on, const workers::start_command& order);
 
     virtual_time& m_time;
--- a/tests/instance/pool_host_test.cpp
+++ b/tests/instance/pool_host_test.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include "instance/pool_host.h"
 
 namespace poplarshed::instance::test {
@@ -16,6 +18,7 @@
     {
         messages.push_back(std::move(message));
     }
+    void report_crashes(const workers::job_crashes& crashes) override { reports.push_back(crashes); }
     void on_held_changed(time_point /*now*/) override { ++changes; }
     void log(time_point /*now*/, const workers::decision_record& /*record*/,
              const routing::pool_id& /*pool*/) override
@@ -26,6 +29,7 @@
 
     std::vector<pending_order> orders;
     std::vector<workers::owner_message> messages;
+    std::vector<workers::job_crashes> reports;
     int changes = 0;
 };
 
@@ -126,6 +130,54 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_workers_have_crashed_under_a_task)
+
+// Guards against a resubmission, through any instance, that begins the count anew.
+BOOST_AUTO_TEST_CASE(what_peers_report_counts_for_later_offers)
+{
+    fixture f;
+    f.decide();
+    f.host.on_claim_answer(f.now, pool, 7, false);
+    f.host.on_crashes(f.now, {workers::job_id("j"), {{0, 0, workers::worker_id("x"), 1}}});
+    f.host.on_crashes(f.now, {workers::job_id("j"), {{0, 0, workers::worker_id("y"), 1}}});
+    BOOST_TEST(f.host.crashes_of(workers::job_id("j")).size() == 2U);
+    workers::job_offer offer = fixture::offer();
+    BOOST_TEST(f.host.on_offer(f.now, offer));
+    f.host.pump(f.now);
+    BOOST_REQUIRE(!f.out.messages.empty());
+    const auto* result = std::get_if<workers::job_result>(&f.out.messages.back());
+    BOOST_REQUIRE(result != nullptr);
+    BOOST_TEST((result->end == workers::job_end::failed));
+}
+
+// Guards against a count that ends with the holder that has counted.
+BOOST_AUTO_TEST_CASE(a_crash_that_is_seen_here_is_reported_to_peers)
+{
+    fixture f;
+    f.decide();
+    f.host.on_claim_answer(f.now, pool, 7, false);
+    f.host.pump(f.now);
+    workers::pool* held = f.host.find(f.out.orders.at(0));
+    BOOST_REQUIRE(held != nullptr);
+    held->on_listing(f.now, {workers::worker_id("w"), 1, 5000, {}, {}});
+    workers::job_offer offer = fixture::offer();
+    f.host.on_offer(f.now, offer);
+    f.host.pump(f.now);
+    const auto start = std::find_if(f.out.orders.begin(), f.out.orders.end(), [](const pending_order& order) {
+        return std::holds_alternative<workers::start_command>(order.order);
+    });
+    BOOST_REQUIRE(start != f.out.orders.end());
+    const auto command = std::get<workers::start_command>(start->order);
+    held->on_start_reply(
+        f.now, {command.target.worker, command.task, command.run, workers::start_outcome::started, 5000});
+    held->on_list_failure(f.now, workers::worker_id("w"), workers::list_failure::gone);
+    f.host.pump(f.now);
+    BOOST_REQUIRE_EQUAL(f.out.reports.size(), 1U);
+    BOOST_TEST((f.out.reports[0].crashes == f.host.crashes_of(workers::job_id("j"))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_a_pool_is_dropped)
 
 // Guards against owners that wait for a holder which has given the pool up.
--- /dev/null
+++ b/tests/workers/crashes_test.cpp
@@ -0,0 +1,396 @@
+#include <boost/test/unit_test.hpp>
+
+#include "pool_fixture.h"
+
+namespace poplarshed::workers::test {
+
+namespace {
+
+constexpr std::size_t workers = 4;
+// Longer than any lease, and shorter than a silence waits for its explanation.
+constexpr milliseconds lapse{1200};
+constexpr milliseconds step{20};
+
+job_offer lasting_offer(const std::string& id, std::uint32_t tasks)
+{
+    job_offer offer = pool_fixture::offer(id, tasks, milliseconds(60));
+    offer.objective = milliseconds(20'000);
+    offer.deadline = milliseconds(20'000);
+    return offer;
+}
+
+/// Four idle workers that have been listed.
+struct fixture : pool_fixture {
+    fixture() : pool_fixture(workers)
+    {
+        for (std::size_t i = 0; i < workers; ++i) {
+            list(i);
+        }
+    }
+
+    /// The last start is confirmed, and its worker falls silent until the lease has lapsed.
+    worker_id lose_silently()
+    {
+        const start_command start = starts.back();
+        confirm(start);
+        fail_list(start.target.worker, list_failure::unanswered);
+        pass(lapse);
+        return start.target.worker;
+    }
+
+    /// The last start is confirmed, and its worker crashes.
+    worker_id crash()
+    {
+        const start_command start = starts.back();
+        confirm(start);
+        fail_list(start.target.worker, list_failure::gone);
+        advance(step);
+        return start.target.worker;
+    }
+
+    void pass(milliseconds time)
+    {
+        for (milliseconds passed{}; passed < time; passed += step) {
+            advance(step);
+        }
+    }
+
+    std::size_t index_of(const worker_id& id) const
+    {
+        std::size_t index = 0;
+        while (entry(index).id != id) {
+            ++index;
+        }
+        return index;
+    }
+
+    bool has_failed() const { return !results.empty() && results.back().end == job_end::failed; }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(crashes)
+
+BOOST_AUTO_TEST_SUITE(when_a_connection_to_a_worker_is_refused)
+
+// Guards against a wait for the lease of a process that has ended, and against a crash that nobody counts.
+BOOST_FIXTURE_TEST_CASE(its_task_starts_elsewhere_at_once_and_the_crash_is_reported, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const worker_id crashed = crash();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    BOOST_TEST((starts[1].target.worker != crashed));
+    BOOST_REQUIRE_EQUAL(crashes.size(), 1U);
+    BOOST_TEST((crashes[0] == job_crashes{job_id("j"), {{0, 0, crashed, 1}}}));
+}
+
+// Guards against a third start, and against a caller that waits for an answer that is known.
+BOOST_FIXTURE_TEST_CASE(the_second_time_the_job_fails_at_once, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    crash();
+    BOOST_TEST(!has_failed());
+    crash();
+    BOOST_REQUIRE(has_failed());
+    BOOST_TEST((results.back().reason == refusal_reason::attempts_exhausted));
+    BOOST_TEST(results.back().may_have_run);
+    pass(lapse);
+    BOOST_TEST(starts.size() == 2U);
+}
+
+// Guards against a start elsewhere while the worker's next process may still execute the first one.
+BOOST_FIXTURE_TEST_CASE(an_unconfirmed_start_keeps_its_lease, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    get().on_start_reply(now(), {start.target.worker, start.task, start.run, start_outcome::unanswered, {}});
+    fail_list(start.target.worker, list_failure::gone);
+    pass(milliseconds(900));
+    BOOST_TEST(starts.size() == 1U);
+    pass(lapse);
+    BOOST_TEST(starts.size() == 2U);
+    BOOST_TEST(crashes.size() == 1U);
+}
+
+// Guards against a failed job after workers that left as announced.
+BOOST_FIXTURE_TEST_CASE(a_worker_that_had_announced_its_end_has_not_crashed, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    change_directory(workers, [&](auto& entries) { entries[index_of(start.target.worker)].draining = true; });
+    fail_list(start.target.worker, list_failure::gone);
+    advance(step);
+    BOOST_TEST(starts.size() == 2U);
+    BOOST_TEST(crashes.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_worker_answers_as_another_process)
+
+// Guards against a crash that is too short to be noticed.
+BOOST_FIXTURE_TEST_CASE(its_runs_count_as_crashed, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    const std::size_t index = index_of(start.target.worker);
+    list(index, {{start.task, start.run, 0}});
+    list(index, {}, {}, 2);
+    BOOST_REQUIRE_EQUAL(crashes.size(), 1U);
+    BOOST_TEST((crashes[0].crashes[0] == task_crash{0, 0, start.target.worker, 1}));
+}
+
+// Guards against a start that is executed late, in the next process, and taken for a second crash.
+BOOST_FIXTURE_TEST_CASE(a_late_start_that_it_runs_has_not_crashed_it, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    list(index_of(start.target.worker), {{start.task, start.run, 0}}, {}, 2);
+    BOOST_TEST(crashes.empty());
+}
+
+// Guards against a planned restart that is taken for a crash.
+BOOST_FIXTURE_TEST_CASE(it_has_not_crashed_if_it_had_announced_its_end, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    const std::size_t index = index_of(start.target.worker);
+    change_directory(workers, [index](auto& entries) {
+        entries[index].draining = true;
+        entries[index].incarnation = 1;
+    });
+    change_directory(workers, [index](auto& entries) { entries[index].incarnation = 2; });
+    list(index, {}, {}, 2);
+    BOOST_TEST(crashes.empty());
+}
+
+// Guards against the same where another worker has the address.
+BOOST_FIXTURE_TEST_CASE(the_same_holds_for_another_worker_at_its_address, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    fail_list(start.target.worker, list_failure::other_incarnation);
+    BOOST_TEST(crashes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_worker_falls_silent)
+
+// Guards against a cut or a frozen machine that counts as a crash.
+BOOST_FIXTURE_TEST_CASE(it_has_not_crashed_if_the_same_process_answers_again, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const worker_id silent = lose_silently();
+    list(index_of(silent));
+    pass(lapse);
+    BOOST_TEST(crashes.empty());
+    BOOST_TEST(starts.size() == 2U);
+}
+
+// Guards against a crash that is proved only when the worker is back.
+BOOST_FIXTURE_TEST_CASE(it_has_crashed_if_another_process_answers, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const worker_id silent = lose_silently();
+    BOOST_TEST(crashes.empty());
+    list(index_of(silent), {}, {}, 2);
+    BOOST_TEST(crashes.size() == 1U);
+}
+
+// Guards against one worker after the other while nobody knows whether they have crashed.
+BOOST_FIXTURE_TEST_CASE(the_third_start_waits_for_an_explanation, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const worker_id first = lose_silently();
+    lose_silently();
+    BOOST_TEST(starts.size() == 2U);
+    list(index_of(first));
+    advance(step);
+    BOOST_TEST(starts.size() == 3U);
+}
+
+// Guards against a job that waits for ever, and against a fourth start.
+BOOST_FIXTURE_TEST_CASE(without_one_the_third_is_the_last, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    lose_silently();
+    lose_silently();
+    pass(milliseconds(5000));
+    BOOST_REQUIRE_EQUAL(starts.size(), 3U);
+    lose_silently();
+    BOOST_TEST(has_failed());
+    BOOST_TEST(starts.size() == 3U);
+}
+
+// Guards against a lapse that the worker itself reports, after a cut, and that counts as a crash.
+BOOST_FIXTURE_TEST_CASE(a_lapse_that_it_reports_is_not_a_crash, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    list(index_of(start.target.worker), {}, {{1, start.task, start.run, run_end::lapsed}});
+    BOOST_TEST(crashes.empty());
+    BOOST_TEST(starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_task_has_lost_a_worker)
+
+// Guards against jobs that are lost with a worker which the task crashes again.
+BOOST_FIXTURE_TEST_CASE(it_runs_alone, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    crash();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    const worker_id used = starts[1].target.worker;
+    offer_job(lasting_offer("k", 8));
+    for (std::size_t i = 2; i < starts.size(); ++i) {
+        BOOST_TEST((starts[i].target.worker != used));
+    }
+    BOOST_TEST(starts.size() == 6U);
+}
+
+// Guards against a suspected task that never gets a worker for itself while others want them, too.
+BOOST_FIXTURE_TEST_CASE(a_worker_is_kept_free_for_it, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    offer_job(lasting_offer("k", 20));
+    BOOST_REQUIRE_EQUAL(starts.size(), 8U);
+    const start_command suspect = starts[0];
+    for (const start_command& start : std::vector<start_command>(starts)) {
+        confirm(start);
+    }
+    fail_list(suspect.target.worker, list_failure::gone);
+    advance(step);
+    const std::size_t before = starts.size();
+    std::map<worker_id, std::vector<start_command>> running;
+    for (const start_command& start : starts) {
+        running[start.target.worker].push_back(start);
+    }
+    running.erase(suspect.target.worker);
+    // Every run ends, on one worker after the other.
+    for (const auto& [id, runs] : running) {
+        std::vector<listed_end> ended;
+        for (const start_command& start : runs) {
+            ended.push_back({ended.size() + 1, start.task, start.run, run_end::done});
+        }
+        list(index_of(id), {}, ended);
+    }
+    const auto again = std::find_if(starts.begin() + static_cast<std::ptrdiff_t>(before), starts.end(),
+                                    [](const start_command& start) { return start.task.job == job_id("j"); });
+    BOOST_REQUIRE(again != starts.end());
+    const auto beside = std::count_if(
+        starts.begin() + static_cast<std::ptrdiff_t>(before), starts.end(),
+        [&](const start_command& start) { return start.target.worker == again->target.worker; });
+    BOOST_TEST(beside == 1);
+}
+
+// Guards against a job that is tried alone, or fails, since it shared its first worker with a task that
+// crashes workers.
+BOOST_FIXTURE_TEST_CASE(a_neighbour_is_cleared_when_the_cause_is_known, fixture)
+{
+    const auto only_first = [](auto& entries) {
+        for (std::size_t i = 1; i < workers; ++i) {
+            entries[i].draining = true;
+        }
+    };
+    change_directory(workers, only_first);
+    offer_job(lasting_offer("neighbour", 1));
+    advance(step);
+    offer_job(lasting_offer("culprit", 1));
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    confirm(starts[0]);
+    confirm(starts[1]);
+    change_directory(workers, [](auto& /*entries*/) {});
+    fail_list(entry(0).id, list_failure::gone);
+    advance(step);
+    // The one that was started last is the first suspect; the other waits for the verdict.
+    BOOST_REQUIRE_EQUAL(starts.size(), 3U);
+    BOOST_TEST((starts[2].task.job == job_id("culprit")));
+    crash();
+    BOOST_TEST(has_failed());
+    BOOST_REQUIRE_EQUAL(starts.size(), 4U);
+    BOOST_TEST((starts[3].task.job == job_id("neighbour")));
+    offer_job(lasting_offer("k", 3));
+    const auto beside = std::count_if(starts.begin() + 4, starts.end(), [this](const start_command& start) {
+        return start.target.worker == starts[3].target.worker;
+    });
+    BOOST_TEST(beside == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_an_offer_names_crashes)
+
+// Guards against a count that begins anew at the next holder, in another pool or for another owner.
+BOOST_FIXTURE_TEST_CASE(they_count, fixture)
+{
+    job_offer offer = lasting_offer("j", 2);
+    offer.crashes = {{0, 1, worker_id("x"), 5}};
+    offer_job(offer);
+    confirm(starts.back());
+    const auto suspect = std::find_if(starts.begin(), starts.end(),
+                                      [](const start_command& start) { return start.task.index == 1; });
+    BOOST_REQUIRE(suspect != starts.end());
+    const worker_id used = suspect->target.worker;
+    confirm(*suspect);
+    fail_list(used, list_failure::gone);
+    BOOST_TEST(has_failed());
+}
+
+// Guards against a start of a task that has crashed two workers already, after the answer was lost.
+BOOST_FIXTURE_TEST_CASE(a_job_that_has_failed_is_not_started_again, fixture)
+{
+    job_offer offer = lasting_offer("j", 2);
+    offer.crashes = {{0, 1, worker_id("x"), 5}, {0, 1, worker_id("y"), 5}};
+    offer_job(offer);
+    BOOST_TEST(starts.empty());
+    BOOST_TEST(has_failed());
+}
+
+// Guards against crashes of two tasks that are added up, and one crash that two instances have reported.
+BOOST_FIXTURE_TEST_CASE(each_counts_once_and_for_its_task, fixture)
+{
+    job_offer offer = lasting_offer("j", 2);
+    offer.crashes = {{0, 0, worker_id("x"), 5}, {0, 1, worker_id("y"), 5}};
+    offer_job(offer);
+    get().on_crashes(now(), job_id("j"), {{0, 1, worker_id("y"), 5}});
+    collect_actions();
+    BOOST_TEST(!has_failed());
+    get().on_crashes(now(), job_id("j"), {{0, 1, worker_id("y"), 6}});
+    collect_actions();
+    BOOST_TEST(has_failed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_jobs_have_ended)
+
+// Guards against a count that is lost with the job, and against memory without bound.
+BOOST_AUTO_TEST_CASE(their_crashes_are_remembered_for_some_time)
+{
+    crash_ledger ledger;
+    const time_point start{seconds(1000)};
+    const task_crash one{0, 0, worker_id("x"), 5};
+    BOOST_TEST(ledger.add(start, job_id("j"), {one}));
+    BOOST_TEST(!ledger.add(start, job_id("j"), {one}));
+    BOOST_TEST((ledger.find(job_id("j")) == std::vector<task_crash>{one}));
+    for (int i = 0; i < 20'000; ++i) {
+        ledger.add(start + milliseconds(i), job_id("k" + std::to_string(i)), {one});
+    }
+    BOOST_TEST(ledger.job_count() <= 8192U);
+    ledger.add(start + std::chrono::minutes(11), job_id("l"), {one});
+    BOOST_TEST(ledger.job_count() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarshed::workers::test
--- a/tests/workers/pool_fixture.h
+++ b/tests/workers/pool_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,33 @@
         collect_actions();
     }
 
+    /// The worker of a start confirms it.
+    void confirm(const start_command& start)
+    {
+        m_pool.on_start_reply(m_now,
+                              {start.target.worker, start.task, start.run, start_outcome::started, {}});
+        collect_actions();
+    }
+
+    void fail_list(const worker_id& worker, list_failure cause)
+    {
+        m_pool.on_list_failure(m_now, worker, cause);
+        collect_actions();
+    }
+
+    /// Sets the workers, with the given changes of their entries.
+    void change_directory(std::size_t worker_count,
+                          const std::function<void(std::vector<worker_entry>&)>& change)
+    {
+        std::vector<worker_entry> entries;
+        for (std::size_t i = 0; i < worker_count; ++i) {
+            entries.push_back(entry(i));
+        }
+        change(entries);
+        m_pool.on_directory(m_now, entries);
+        collect_actions();
+    }
+
     void advance(milliseconds time)
     {
         m_now += time;
@@ -104,6 +132,8 @@
                 } else {
                     progress.push_back(std::get<job_progress>(out->message));
                 }
+            } else if (auto* report = std::get_if<job_crashes>(&item)) {
+                crashes.push_back(*report);
             }
         }
     }
@@ -117,6 +147,7 @@
     std::vector<job_result> results;
     std::vector<endpoint> result_receivers;  ///< of each result
     std::vector<job_progress> progress;
+    std::vector<job_crashes> crashes;
 
 private:
     time_point m_now{seconds(1000)};
