workers: start nothing by the entry of a worker's former process

What callers saw: nothing yet on the deployments in force, whose workers guard their capacity. On a service whose workers do not, a worker that came back under its id as a smaller one was started more than it has room for (rule LIMIT); the same entry names the labels of the former process.

Cause: the list told the pool that another process answers, and the entry, which lags by up to a heartbeat, still gave the capacity and the labels of the one before. A worker whose list and entry name different incarnations is not used now until they agree.

Evidence: test_workers, suite capacity, in virtual time, with workers that reject what does not fit and workers that do not. Capacity that shrinks and grows while a worker runs broke nothing before either; those cases guard what holds: runs that are being stopped count, and room that is back is used.

--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -29,8 +29,12 @@
     const bool lease_ends = std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto& entry) {
         return entry.second.limit && *entry.second.limit < now + min_lease;
     });
+    // An entry of another incarnation does not tell the present capacity and labels.
+    const bool described = worker.entry.incarnation == 0 || worker.incarnation == 0 ||
+                           worker.entry.incarnation == worker.incarnation;
     return worker.present && worker.listed && !worker.unreachable && !worker.entry.draining && !lease_ends &&
-           now >= worker.no_start_until && now >= worker.ejected_until && worker.clock_offset_ms.has_value();
+           described && now >= worker.no_start_until && now >= worker.ejected_until &&
+           worker.clock_offset_ms.has_value();
 }
 
 // A list shows the runs of former holders, and no command of theirs is executed after it, unless the worker
--- a/tests/workers/virtual_workers.cpp
+++ b/tests/workers/virtual_workers.cpp
@@ -32,6 +32,7 @@
         virtual_worker& worker = m_workers[i];
         worker.entry = pool_fixture::entry(i);
         worker.entry.incarnation = worker.incarnation;
+        worker.capacities = {{m_now, worker.entry.capacity.cpu_milli}};
         worker.clock_base_ms = first_clock_ms;
         worker.clock_since = m_now;
     }
@@ -101,15 +102,39 @@
     worker.clock_base_ms = 0;
     worker.clock_since = worker.up_at;
     ++worker.incarnation;
+    worker.capacities = {{m_now, worker.capacities.back().second}};
     add_history({}, worker.entry.id.value() + " crashes, up in " + std::to_string(down.count()) + " ms");
     const auto lag = milliseconds(static_cast<std::int64_t>(m_random.below(directory_lag_ms)));
     after(down + lag, [this, &worker, incarnation = worker.incarnation] {
         add_history({}, "directory learns of the restart of " + worker.entry.id.value());
         worker.entry.incarnation = std::max(worker.entry.incarnation, incarnation);
+        worker.entry.capacity.cpu_milli = worker.capacities.back().second;
         update_directory();
     });
 }
 
+void virtual_site::set_capacity(std::size_t index, std::int64_t cpu_milli)
+{
+    virtual_worker& worker = m_workers.at(index);
+    worker.capacities.emplace_back(m_now, cpu_milli);
+    add_history({}, worker.entry.id.value() + " has " + std::to_string(cpu_milli) + " thousandths of a core");
+    const auto lag = milliseconds(static_cast<std::int64_t>(m_random.below(directory_lag_ms)));
+    after(lag, [this, &worker, incarnation = worker.incarnation] {
+        if (worker.entry.incarnation == incarnation) {
+            worker.entry.capacity.cpu_milli = worker.capacities.back().second;
+            update_directory();
+        }
+    });
+}
+
+void virtual_site::restart_with_capacity(std::size_t index, milliseconds down, std::int64_t cpu_milli)
+{
+    crash_worker(index, down);
+    m_workers.at(index).capacities = {{m_now, cpu_milli}};
+    add_history({}, m_workers.at(index).entry.id.value() + " restarts with " + std::to_string(cpu_milli) +
+                        " thousandths of a core");
+}
+
 void virtual_site::set_clock_rate(std::size_t index, double rate)
 {
     virtual_worker& worker = m_workers.at(index);
--- a/tests/workers/virtual_workers.h
+++ b/tests/workers/virtual_workers.h
@@ -54,6 +54,10 @@
     void drop_former();
     /// Restarts the worker under the same id after the given downtime; its clock and counters restart at 0.
     void crash_worker(std::size_t index, milliseconds down = {}, crash_kind kind = crash_kind::dark);
+    /// Changes the processors of a worker while it runs; the directory shows it some time later.
+    void set_capacity(std::size_t index, std::int64_t cpu_milli);
+    /// Restarts the worker under the same id as one of another size; the directory shows it some time later.
+    void restart_with_capacity(std::size_t index, milliseconds down, std::int64_t cpu_milli);
     /// @param rate speed of the worker's clock from now on; 1 is exact
     void set_clock_rate(std::size_t index, double rate);
     /// Removes the worker, which continues to run, from the directory, or lists it again.
@@ -112,6 +116,8 @@
         std::map<task_ref, run_number> closed;  ///< highest run number that was stopped or has ended
         std::vector<listed_end> ends;
         std::uint64_t last_end = 0;
+        /// Capacities of the present process, each with the time from which it holds.
+        std::vector<std::pair<time_point, std::int64_t>> capacities;
         std::size_t starts = 0;
         bool refuses = false;  ///< connections while it is down
         std::vector<std::function<void()>> waiting_lists;
@@ -163,6 +169,8 @@
     bool happens(double share) { return share > 0 && m_random.unit() < share; }
     milliseconds travel(const virtual_worker& worker);
     start_outcome execute_start(const start_command& command);
+    /// What a start may use: a capacity that has shrunk counts some time later (users' rules).
+    std::int64_t allowed_cpu(const virtual_worker& worker) const;
     /// Counts a start of a task that crashes its workers, and crashes this one some time later.
     void crash_under_task(const virtual_worker& worker, const start_command& command);
     void execute_list(const list_command& command, const respond& answer);
