workers: take a refused connection for no proof of a crash

Cause: an inference from TCP that a network in between can falsify. Only another process or worker at the address, or a later incarnation in the directory, proves that a process has ended.

Change: runs keep their lease whatever the connection says. A loss is noted for the worker with all tasks that ran on it, explained when the worker is heard of again: the same process clears it, another one makes it a crash. A task that was lost with a worker that refuses connections is suspected meanwhile and runs alone; two unexplained losses wait for an explanation for up to 5 s, as for silent workers. Three workers that fall silent together are no fault of a task. While a suspected task has crashed its worker lately, fewer of them are tried.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -86,12 +86,11 @@
         std::uint32_t failures = 0;
         run_number run;
         worker_id worker;
-        worker_id avoid;               ///< worker on which the last run failed
-        std::uint32_t crashes = 0;     ///< workers that have crashed under the task
-        std::uint32_t suspicions = 0;  ///< crashes that no other task is known to have caused
-        /// Workers that fell silent under the task; each may have crashed, or may only be cut off.
-        std::uint32_t silent_losses = 0;
-        time_point retry_at;  ///< not started before, unless the silence is explained
+        worker_id avoid;                  ///< worker on which the last run failed
+        std::uint32_t crashes = 0;        ///< workers that have crashed under the task
+        std::uint32_t silent_losses = 0;  ///< workers that may have crashed, or may be cut off
+        bool suspected = false;           ///< of crashing its workers
+        time_point retry_at;              ///< not started before, unless a silence is explained
     };
 
     struct job_record {
@@ -132,13 +131,17 @@
         bool overdue = false;
         bool isolated = false;       ///< no other task is started on the worker meanwhile
         bool first_suspect = false;  ///< its task is the most likely cause of an earlier crash
-        bool process_ended = false;  ///< the worker has crashed after the start was sent
     };
 
-    /// A run that ended while its worker was silent, so that it is not known whether the worker crashed.
-    struct silent_loss {
-        task_ref task;
-        std::uint64_t incarnation = 0;  ///< of the worker
+    /// A worker that was lost while tasks ran on it, without having announced its end.
+    struct worker_loss {
+        worker_id worker;
+        std::uint64_t incarnation = 0;
+        time_point at;
+        bool crashed = false;         ///< proved: the process has ended
+        bool refused = false;         ///< connections were refused, as after most crashes and in some cuts
+        bool other_cause = false;     ///< another task, or a failure of several workers at once
+        std::vector<task_ref> tasks;  ///< the one that was started last first
     };
 
     /// A start that the worker never confirmed and that may be executed late.
@@ -173,9 +176,10 @@
         std::uint64_t incarnation = 0;
         std::uint64_t acknowledged = 0;
         std::map<task_ref, run_record> runs;
-        std::map<task_ref, abandoned_run> abandoned;       ///< may be executed late
-        std::vector<silent_loss> silent_losses;            ///< not explained yet
-        bool process_ended = false;                        ///< since the last list that was answered
+        std::map<task_ref, abandoned_run> abandoned;  ///< may be executed late
+        bool refused = false;                         ///< a connection, since the last list that was answered
+        bool replaced = false;                        ///< its process is known to have ended
+        time_point silent_since;                      ///< last time that it became unreachable
         std::optional<std::uint64_t> leaving_incarnation;  ///< the last one that announced its end
         resources used;
         speed_estimate speed;
@@ -279,45 +283,49 @@
     static std::uint64_t incarnation_of(const worker_record& worker);
     /// True if the worker's present incarnation has announced that it leaves.
     static bool has_announced_end(const worker_record& worker);
-    /// Ends the runs of a worker whose process has ended.
-    /// @param unconfirmed also those that the worker has not confirmed; otherwise they end with their lease,
-    ///   since the worker's next process may execute a late start
-    void on_process_ended(time_point now, worker_record& worker, std::string_view evidence, bool unconfirmed);
-    /// Notes a run that has ended while its worker was silent.
-    void add_silent_loss(time_point now, worker_record& worker, const task_ref& ref);
-    /// Tells crashes from cuts after a silence.
-    /// @param present the worker's incarnation; nothing if no process is left
-    void explain_silence(time_point now, worker_record& worker, std::optional<std::uint64_t> present);
-    void count_crash(time_point now, const worker_id& worker, std::uint64_t incarnation, const task_ref& ref);
-    static bool is_suspect(const task_record& task);
-    /// Notes which tasks ran on a crashed worker.
-    void add_crash_group(const worker_record& worker, std::vector<task_ref> tasks);
-    /// True if no other task that ran on a worker which crashed under this one is to be tried before it.
-    bool is_first_suspect(time_point now, const job_record& job, std::uint32_t number) const;
-    bool is_open(time_point now, const task_ref& ref) const;
-    /// A task is known to crash its workers: clears the tasks that only shared them.
-    void clear_neighbours(time_point now, const job_record& job, const task_ref& culprit);
-    void forget_crash_groups(time_point now);
+    /// Another worker has the address: ends all runs.
+    void on_worker_replaced(time_point now, worker_record& worker);
+    /// Sorts tasks that run on a worker, the one that was started last first.
+    static void sort_by_start(const worker_record& worker, std::vector<task_ref>& tasks);
+    /// Notes that runs have ended with a worker.
+    /// @param crashed its process is known to have ended
+    void add_loss(time_point now, worker_record& worker, const std::vector<task_ref>& tasks, bool crashed);
+    /// True if several workers fell silent at the same time, which no task causes.
+    bool is_lost_with_others(const worker_record& worker) const;
+    /// Tells crashes from cuts when a silent worker is heard of again.
+    /// @param present its incarnation; nothing if its process has ended
+    void explain_silence(time_point now, const worker_record& worker, std::optional<std::uint64_t> present);
+    void report_crashes(const worker_loss& loss, const std::vector<task_ref>& tasks);
+    /// Updates what is known of the tasks' jobs, and ends those that crash workers.
+    void on_losses_changed(time_point now, const std::vector<task_ref>& tasks);
     /// Number of the task in the job; nothing if the job has no such task.
     static std::optional<std::uint32_t> find_task(const job_record& job, std::uint32_t step,
                                                   std::uint32_t index);
-    /// Counts the known crashes of each task.
-    void count_known_crashes(job_record& job) const;
+    /// Counts the known losses of each task.
+    void count_losses(job_record& job) const;
     void count_suspects(job_record& job) const;
     /// Answers an offer of a job under a task of which too many workers have crashed. @returns false for
     /// others
     bool refuse_crashing(const endpoint& owner, const job_offer& offer);
     /// Ends the job if too many workers were lost under a task.
     void give_up_if_crashing(time_point now, const job_id& id);
+    /// A task is known to crash its workers: clears the tasks that only shared them.
+    void clear_neighbours(const task_ref& culprit);
+    /// True while the task is not done and may be started here.
+    bool is_open(time_point now, const task_ref& ref) const;
+    /// True if no other task that was lost with the same worker is to be tried before this one.
+    bool is_first_suspect(time_point now, const task_ref& ref) const;
     /// Starts suspected tasks, each alone on a worker, and keeps workers free for those that wait.
     void start_suspects(time_point now, const std::vector<job_record*>& waiting, std::size_t& window);
     /// Numbers of further workers on which suspected tasks may run.
     struct suspect_limits {
         std::size_t workers = 0;
-        std::size_t crashes = 0;  ///< workers that are likely to crash
-        std::size_t window = 0;   ///< starts that may wait for an answer
+        bool crashes_limited = false;  ///< a suspected task has crashed its worker lately
+        std::size_t crashes = 0;       ///< workers for first suspects, which are likely to crash them
+        std::size_t window = 0;        ///< starts that may wait for an answer
     };
-    void start_suspects_of(time_point now, job_record& job, suspect_limits& left);
+    /// @param first only those that are first suspects of a loss, or only the others
+    void start_suspects_of(time_point now, job_record& job, bool first, suspect_limits& left);
     suspect_limits limits_for_suspects(time_point now);
     /// The worker that is expected to be idle first; nothing if none can take the task.
     std::optional<worker_id> next_idle_worker(time_point now, const job_step& step) const;
@@ -373,12 +381,9 @@
     std::map<task_ref, time_point> m_orphan_ends;  ///< finished before their job was claimed
     std::vector<pool_load> m_other_pools;
     std::map<job_id, std::vector<std::uint32_t>> m_finished_tasks;
+    std::vector<worker_loss> m_losses;                      ///< recent
     std::set<worker_id> m_kept_free;                        ///< for suspected tasks
     std::map<worker_id, time_point> m_crashed_by_suspects;  ///< workers that are not back yet
-    using worker_life = std::pair<worker_id, std::uint64_t>;
-    /// Tasks that ran on a crashed worker, the one that was started last first.
-    std::map<worker_life, std::vector<task_ref>> m_crash_groups;
-    std::map<worker_life, time_point> m_explained_crashes;  ///< whose cause is known
     std::vector<action> m_actions;
 };
 
--- a/source/workers/pool_crashes.cpp
+++ b/source/workers/pool_crashes.cpp
@@ -12,17 +12,19 @@
 constexpr std::uint32_t max_losses = max_crashes + 1;
 // A crashed worker is back after some seconds, or its entry lapses after three heartbeats of 1.5 s.
 constexpr milliseconds explanation_time{5000};
+// Workers of a rack or behind a cut become silent together, as fast as lists are sent.
+constexpr std::size_t workers_lost_together = 3;
+constexpr milliseconds together{300};
 // One in this many workers may run suspected tasks, so that many of them at once leave most of the pool to
 // the others.
-constexpr std::size_t pool_share_for_suspects = 4;
-// The same for tasks that are likely to crash their worker, while less than one part in min_free_share of the
-// pool is free: a worker that is down for some seconds costs many other tasks their place then.
-constexpr std::size_t pool_share_for_crashes = 8;
+constexpr std::size_t pool_share_for_suspects = 3;
+// The same for tasks that are likely to crash their worker, which is down for some seconds then; fewer while
+// less than one part in min_free_share of the pool is free, since that costs many other tasks their place.
+constexpr std::size_t pool_share_for_crashes = 4;
+constexpr std::size_t scarce_pool_share_for_crashes = 8;
 constexpr std::int64_t min_free_share = 4;
 // A crashed worker is back or replaced within this time, or counts as lost.
 constexpr milliseconds max_crash_downtime{4000};
-// Longer than a task waits for its next start.
-constexpr milliseconds explanation_retention{60'000};
 // Suspected tasks of a job share its payload, so that they crash workers together.
 constexpr std::ptrdiff_t max_isolated_per_job = 2;
 
@@ -43,162 +45,132 @@
     return worker.entry.draining || worker.leaving_incarnation == incarnation_of(worker);
 }
 
-void pool::on_process_ended(time_point now, worker_record& worker, std::string_view evidence,
-                            bool unconfirmed)
+void pool::sort_by_start(const worker_record& worker, std::vector<task_ref>& tasks)
+{
+    std::sort(tasks.begin(), tasks.end(), [&worker](const task_ref& left, const task_ref& right) {
+        return worker.runs.at(right).sent < worker.runs.at(left).sent;
+    });
+}
+
+void pool::on_worker_replaced(time_point now, worker_record& worker)
 {
     const bool planned = has_announced_end(worker);
     std::vector<task_ref> ended;
-    for (auto& [ref, run] : worker.runs) {
-        // Answers arrive in order, so that no later process has confirmed a run yet.
-        if (unconfirmed || run.first_list_with_run) {
-            ended.push_back(ref);
-        } else {
-            run.process_ended = !planned;
-        }
+    for (const auto& [ref, run] : worker.runs) {
+        ended.push_back(ref);
     }
-    if (!std::exchange(worker.process_ended, true) || !ended.empty()) {
-        record(planned ? decision::worker_lapsed : decision::worker_crashed, {}, worker.entry.id,
-               std::string(planned ? "left" : evidence),
+    if (!std::exchange(worker.replaced, true) || !ended.empty()) {
+        record(planned ? decision::worker_lapsed : decision::worker_crashed, {}, worker.entry.id, "replaced",
                milliseconds(static_cast<std::int64_t>(ended.size())));
     }
-    if (unconfirmed) {
-        m_crashed_by_suspects.erase(worker.entry.id);
-    }
+    m_crashed_by_suspects.erase(worker.entry.id);
     explain_silence(now, worker, std::nullopt);
-    if (!planned) {
-        add_crash_group(worker, ended);
-    }
+    sort_by_start(worker, ended);
     for (const task_ref& ref : ended) {
         end_run(now, worker, ref, planned ? run_end::lapsed : run_end::crashed);
     }
+    add_loss(now, worker, ended, true);
     worker.listed = false;
 }
 
-void pool::add_silent_loss(time_point now, worker_record& worker, const task_ref& ref)
-{
-    if (has_announced_end(worker)) {
-        return;
-    }
-    worker.silent_losses.push_back({ref, incarnation_of(worker)});
-    job_record* job = find_job(ref.job);
-    const auto number = job == nullptr ? std::nullopt : find_task(*job, ref.step, ref.index);
-    if (!number) {
-        return;
-    }
-    task_record& task = job->tasks[*number];
-    ++task.silent_losses;
-    if (task.crashes + task.silent_losses >= max_crashes) {
-        task.retry_at = now + explanation_time;
-    }
-    count_suspects(*job);
-    give_up_if_crashing(now, ref.job);
-}
-
-void pool::explain_silence(time_point now, worker_record& worker, std::optional<std::uint64_t> present)
-{
-    for (const silent_loss& loss : std::exchange(worker.silent_losses, {})) {
-        job_record* job = find_job(loss.task.job);
-        const auto number = job == nullptr ? std::nullopt : find_task(*job, loss.task.step, loss.task.index);
-        if (number) {
-            task_record& task = job->tasks[*number];
-            task.silent_losses -= std::min(task.silent_losses, 1U);
-            task.retry_at = time_point{};
-            count_suspects(*job);
-        }
-        const bool planned = worker.entry.draining || worker.leaving_incarnation == loss.incarnation;
-        if (!planned && loss.incarnation != 0 && loss.incarnation != present) {
-            count_crash(now, worker.entry.id, loss.incarnation, loss.task);
-        }
-    }
-}
-
-void pool::count_crash(time_point now, const worker_id& worker, std::uint64_t incarnation,
-                       const task_ref& ref)
+bool pool::is_lost_with_others(const worker_record& worker) const
 {
-    const std::vector<task_crash> crashes{{ref.step, ref.index, worker, incarnation}};
-    m_actions.emplace_back(job_crashes{ref.job, crashes});
-    on_crashes(now, ref.job, crashes);
+    const auto near = std::count_if(m_workers.begin(), m_workers.end(), [&worker](const auto& entry) {
+        const duration apart = entry.second.silent_since - worker.silent_since;
+        return std::max(apart, -apart) <= together;
+    });
+    return worker.silent_since != time_point{} && static_cast<std::size_t>(near) >= workers_lost_together;
 }
 
-void pool::on_crashes(time_point now, const job_id& id, const std::vector<task_crash>& crashes)
+void pool::add_loss(time_point now, worker_record& worker, const std::vector<task_ref>& tasks, bool crashed)
 {
-    job_record* job = find_job(id);
-    if (job == nullptr || !merge_crashes(job->offer.crashes, crashes)) {
+    if (tasks.empty() || has_announced_end(worker)) {
         return;
     }
-    count_known_crashes(*job);
-    for (const task_crash& crash : crashes) {
-        record(decision::task_suspected, id, crash.worker, task_text(crash.step, crash.index));
-    }
-    give_up_if_crashing(now, id);
-}
-
-bool pool::is_suspect(const task_record& task)
-{
-    return task.suspicions > 0 || task.silent_losses >= max_crashes;
-}
-
-// A task that has run on for longer is less likely to have caused the crash.
-void pool::add_crash_group(const worker_record& worker, std::vector<task_ref> tasks)
-{
-    std::sort(tasks.begin(), tasks.end(), [&worker](const task_ref& left, const task_ref& right) {
-        return worker.runs.at(right).sent < worker.runs.at(left).sent;
+    const std::uint64_t incarnation = incarnation_of(worker);
+    auto loss = std::find_if(m_losses.begin(), m_losses.end(), [&](const worker_loss& known) {
+        return known.worker == worker.entry.id && known.incarnation == incarnation;
     });
-    m_crash_groups.insert_or_assign({worker.entry.id, incarnation_of(worker)}, std::move(tasks));
+    if (loss == m_losses.end()) {
+        m_losses.push_back({worker.entry.id, incarnation, now, false, false, false, {}});
+        loss = std::prev(m_losses.end());
+    }
+    loss->crashed = loss->crashed || crashed;
+    loss->refused = loss->refused || worker.refused;
+    loss->other_cause = loss->other_cause || is_lost_with_others(worker);
+    loss->tasks.insert(loss->tasks.end(), tasks.begin(), tasks.end());
+    if (loss->crashed) {
+        report_crashes(*loss, tasks);
+    }
+    for (const task_ref& ref : tasks) {
+        job_record* job = find_job(ref.job);
+        if (const auto number = job == nullptr ? std::nullopt : find_task(*job, ref.step, ref.index)) {
+            job->tasks[*number].retry_at = now + explanation_time;
+        }
+    }
+    on_losses_changed(now, tasks);
 }
 
-bool pool::is_open(time_point now, const task_ref& ref) const
+void pool::explain_silence(time_point now, const worker_record& worker, std::optional<std::uint64_t> present)
 {
-    const auto job = m_jobs.find(ref.job);
-    if (job == m_jobs.end() || !may_start_tasks(now, *job->second)) {
-        return false;
+    std::vector<task_ref> explained;
+    for (worker_loss& loss : m_losses) {
+        if (loss.worker != worker.entry.id || loss.crashed) {
+            continue;
+        }
+        explained.insert(explained.end(), loss.tasks.begin(), loss.tasks.end());
+        const bool left = worker.entry.draining || worker.leaving_incarnation == loss.incarnation;
+        if (loss.incarnation == present || loss.incarnation == 0 || left) {
+            loss.tasks.clear();
+        } else {
+            loss.crashed = true;
+            report_crashes(loss, loss.tasks);
+        }
     }
-    const auto number = find_task(*job->second, ref.step, ref.index);
-    return number && job->second->tasks[*number].state != task_state::done;
+    std::erase_if(m_losses, [](const worker_loss& loss) { return loss.tasks.empty(); });
+    on_losses_changed(now, explained);
 }
 
-bool pool::is_first_suspect(time_point now, const job_record& job, std::uint32_t number) const
+void pool::report_crashes(const worker_loss& loss, const std::vector<task_ref>& tasks)
 {
-    const task_ref ref = ref_of(job, number);
-    return std::all_of(job.offer.crashes.begin(), job.offer.crashes.end(), [&](const task_crash& crash) {
-        const auto group = m_crash_groups.find({crash.worker, crash.incarnation});
-        if (crash.step != ref.step || crash.index != ref.index || group == m_crash_groups.end()) {
-            return true;
+    for (const task_ref& ref : tasks) {
+        const std::vector<task_crash> crashes{{ref.step, ref.index, loss.worker, loss.incarnation}};
+        m_actions.emplace_back(job_crashes{ref.job, crashes});
+        if (job_record* job = find_job(ref.job)) {
+            merge_crashes(job->offer.crashes, crashes);
         }
-        const auto first = std::find_if(group->second.begin(), group->second.end(),
-                                        [&](const task_ref& other) { return is_open(now, other); });
-        return first == group->second.end() || *first == ref;
-    });
+    }
 }
 
-void pool::clear_neighbours(time_point now, const job_record& job, const task_ref& culprit)
+void pool::on_losses_changed(time_point now, const std::vector<task_ref>& tasks)
 {
-    for (const task_crash& crash : job.offer.crashes) {
-        if (crash.step != culprit.step || crash.index != culprit.index) {
+    for (const task_ref& ref : tasks) {
+        job_record* job = find_job(ref.job);
+        const auto number = job == nullptr ? std::nullopt : find_task(*job, ref.step, ref.index);
+        if (!number) {
             continue;
         }
-        const worker_life life(crash.worker, crash.incarnation);
-        m_explained_crashes[life] = now;
-        const auto group = m_crash_groups.extract(life);
-        if (group.empty()) {
-            continue;
+        count_losses(*job);
+        task_record& task = job->tasks[*number];
+        if (task.crashes + task.silent_losses < max_crashes) {
+            task.retry_at = time_point{};
         }
-        for (const task_ref& other : group.mapped()) {
-            if (job_record* neighbour = find_job(other.job)) {
-                count_known_crashes(*neighbour);
-            }
+        if (task.suspected) {
+            record(decision::task_suspected, ref.job, {},
+                   task_text(ref.step, ref.index) + ": " + std::to_string(task.crashes) +
+                       " workers crashed, " + std::to_string(task.silent_losses) + " fell silent");
         }
+        give_up_if_crashing(now, ref.job);
     }
 }
 
-void pool::forget_crash_groups(time_point now)
+void pool::on_crashes(time_point now, const job_id& id, const std::vector<task_crash>& crashes)
 {
-    std::erase_if(m_crash_groups, [&](const auto& group) {
-        return std::none_of(group.second.begin(), group.second.end(),
-                            [&](const task_ref& ref) { return is_open(now, ref); });
-    });
-    std::erase_if(m_explained_crashes,
-                  [now](const auto& entry) { return now > entry.second + explanation_retention; });
+    job_record* job = find_job(id);
+    if (job != nullptr && merge_crashes(job->offer.crashes, crashes)) {
+        count_losses(*job);
+        give_up_if_crashing(now, id);
+    }
 }
 
 std::optional<std::uint32_t> pool::find_task(const job_record& job, std::uint32_t step, std::uint32_t index)
@@ -209,17 +181,34 @@
     return job.first_task.at(step) + index;
 }
 
-void pool::count_known_crashes(job_record& job) const
+void pool::count_losses(job_record& job) const
 {
     for (task_record& task : job.tasks) {
         task.crashes = 0;
-        task.suspicions = 0;
+        task.silent_losses = 0;
+        task.suspected = false;
     }
     for (const task_crash& crash : job.offer.crashes) {
-        if (const auto number = find_task(job, crash.step, crash.index)) {
-            const bool explained = m_explained_crashes.contains({crash.worker, crash.incarnation});
+        const auto number = find_task(job, crash.step, crash.index);
+        const bool explained =
+            std::any_of(m_losses.begin(), m_losses.end(), [&crash](const worker_loss& loss) {
+                return loss.worker == crash.worker && loss.incarnation == crash.incarnation &&
+                       loss.other_cause;
+            });
+        if (number) {
             ++job.tasks[*number].crashes;
-            job.tasks[*number].suspicions += explained ? 0 : 1;
+            job.tasks[*number].suspected = job.tasks[*number].suspected || !explained;
+        }
+    }
+    for (const worker_loss& loss : m_losses) {
+        for (const task_ref& ref : loss.tasks) {
+            const auto number = ref.job == job.offer.job ? find_task(job, ref.step, ref.index) : std::nullopt;
+            if (number && !loss.crashed) {
+                task_record& task = job.tasks[*number];
+                ++task.silent_losses;
+                task.suspected = task.suspected || task.silent_losses >= max_crashes ||
+                                 (loss.refused && !loss.other_cause);
+            }
         }
     }
     count_suspects(job);
@@ -231,7 +220,7 @@
         const auto first = job.tasks.begin() + job.first_task.at(step);
         job.suspects_in_step.at(step) = static_cast<std::uint32_t>(std::count_if(
             first, first + job.offer.steps[step].tasks,
-            [](const task_record& task) { return task.state != task_state::done && is_suspect(task); }));
+            [](const task_record& task) { return task.state != task_state::done && task.suspected; }));
     }
 }
 
@@ -249,13 +238,29 @@
     record(decision::task_given_up, id, {},
            task_text(ref.step, ref.index) + ": " + std::to_string(found->crashes) + " workers crashed, " +
                std::to_string(found->silent_losses) + " fell silent");
-    clear_neighbours(now, job, ref);
+    clear_neighbours(ref);
     job_result result = make_result(job, job_end::failed);
     result.may_have_run = true;
     result.reason = refusal_reason::attempts_exhausted;
     finish_job(now, id, std::move(result));
 }
 
+void pool::clear_neighbours(const task_ref& culprit)
+{
+    for (worker_loss& loss : m_losses) {
+        if (std::find(loss.tasks.begin(), loss.tasks.end(), culprit) == loss.tasks.end()) {
+            continue;
+        }
+        loss.other_cause = true;
+        for (const task_ref& other : loss.tasks) {
+            job_record* neighbour = find_job(other.job);
+            if (neighbour != nullptr && other.job != culprit.job) {
+                count_losses(*neighbour);
+            }
+        }
+    }
+}
+
 bool pool::refuse_crashing(const endpoint& owner, const job_offer& offer)
 {
     // Crashes under one task stand side by side.
@@ -279,11 +284,36 @@
     return true;
 }
 
+bool pool::is_open(time_point now, const task_ref& ref) const
+{
+    const auto job = m_jobs.find(ref.job);
+    if (job == m_jobs.end() || !may_start_tasks(now, *job->second)) {
+        return false;
+    }
+    const auto number = find_task(*job->second, ref.step, ref.index);
+    return number && job->second->tasks[*number].state != task_state::done;
+}
+
+// A task that has run on for longer is less likely to have caused the crash.
+bool pool::is_first_suspect(time_point now, const task_ref& ref) const
+{
+    return std::all_of(m_losses.begin(), m_losses.end(), [&](const worker_loss& loss) {
+        const bool may_be_caused = (loss.crashed || loss.refused) && !loss.other_cause;
+        if (!may_be_caused || std::find(loss.tasks.begin(), loss.tasks.end(), ref) == loss.tasks.end()) {
+            return true;
+        }
+        const auto first = std::find_if(loss.tasks.begin(), loss.tasks.end(),
+                                        [&](const task_ref& other) { return is_open(now, other); });
+        return first == loss.tasks.end() || *first == ref;
+    });
+}
+
 pool::suspect_limits pool::limits_for_suspects(time_point now)
 {
     std::erase_if(m_crashed_by_suspects, [&](const auto& entry) {
         const auto worker = m_workers.find(entry.first);
-        return now > entry.second + max_crash_downtime || worker == m_workers.end() || worker->second.listed;
+        return now > entry.second + max_crash_downtime || worker == m_workers.end() ||
+               !worker->second.unreachable;
     });
     std::size_t present = 0;
     std::size_t isolated = 0;
@@ -291,17 +321,21 @@
     for (const auto& [id, worker] : m_workers) {
         present += worker.present ? 1 : 0;
         for (const auto& [ref, run] : worker.runs) {
-            isolated += run.isolated ? 1 : 0;
-            crashing += run.first_suspect ? 1 : 0;
+            const bool active = run.isolated && !m_crashed_by_suspects.contains(id);
+            isolated += active ? 1 : 0;
+            crashing += active && run.first_suspect ? 1 : 0;
         }
     }
-    const std::size_t most_isolated = std::max<std::size_t>(1, present / pool_share_for_suspects);
     const backlog queue = current_backlog(now);
     const bool scarce = queue.free_cpu * min_free_share < queue.capacity_cpu;
+    const std::size_t most_isolated = std::max<std::size_t>(1, present / pool_share_for_suspects);
     const std::size_t most_crashing =
-        scarce ? std::max<std::size_t>(1, present / pool_share_for_crashes) : most_isolated;
-    return {most_isolated - std::min(most_isolated, isolated),
-            most_crashing - std::min(most_crashing, crashing), 0};
+        std::max<std::size_t>(1, present / (scarce ? scarce_pool_share_for_crashes : pool_share_for_crashes));
+    suspect_limits left;
+    left.workers = most_isolated - std::min(most_isolated, isolated);
+    left.crashes_limited = !m_crashed_by_suspects.empty();
+    left.crashes = left.crashes_limited ? most_crashing - std::min(most_crashing, crashing) : left.workers;
+    return left;
 }
 
 // Load pattern: many jobs at once with a task that crashes its worker, beside jobs that only shared the
@@ -318,29 +352,33 @@
     }
     suspect_limits left = limits_for_suspects(now);
     left.window = window;
-    for (job_record* job : waiting) {
-        if (has_suspects(job) && may_start_tasks(now, *job)) {
-            start_suspects_of(now, *job, left);
+    for (const bool first : {true, false}) {
+        // The others of a loss wait for the verdict, unless the first suspect cannot be tried now.
+        if (left.crashes_limited && first != (left.crashes > 0)) {
+            continue;
+        }
+        for (job_record* job : waiting) {
+            if (has_suspects(job) && may_start_tasks(now, *job)) {
+                start_suspects_of(now, *job, first, left);
+            }
         }
     }
     window = left.window;
 }
 
-void pool::start_suspects_of(time_point now, job_record& job, suspect_limits& left)
+void pool::start_suspects_of(time_point now, job_record& job, bool first, suspect_limits& left)
 {
     auto running = std::count_if(job.tasks.begin(), job.tasks.end(), [](const task_record& task) {
-        return is_suspect(task) && task.state != task_state::waiting && task.state != task_state::done;
+        return task.suspected && task.state != task_state::waiting && task.state != task_state::done;
     });
     for (std::uint32_t number = 0; number < job.tasks.size(); ++number) {
-        if (running >= max_isolated_per_job || left.workers == 0 || left.window == 0) {
+        if (running >= max_isolated_per_job || left.workers == 0 || left.window == 0 ||
+            (first && left.crashes == 0)) {
             return;
         }
-        if (!is_suspect(job.tasks[number]) || !is_ready(now, job, number)) {
-            continue;
-        }
-        // The others of a crash wait for the verdict, unless the first suspect cannot be tried now.
-        const bool first = is_first_suspect(now, job, number);
-        if (first != (left.crashes > 0)) {
+        const task_ref ref = ref_of(job, number);
+        if (!job.tasks[number].suspected || !is_ready(now, job, number) ||
+            is_first_suspect(now, ref) != first) {
             continue;
         }
         ++running;
@@ -349,7 +387,7 @@
         if (const auto idle = select_worker(now, job, number, true)) {
             worker_record& worker = m_workers.at(*idle);
             start_task(now, job, number, worker, true);
-            worker.runs.at(ref_of(job, number)).first_suspect = first;
+            worker.runs.at(ref).first_suspect = first;
             --left.window;
         } else if (const auto next = next_idle_worker(now, step_of(job, number))) {
             m_kept_free.insert(*next);
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -116,7 +116,7 @@
     for (const std::uint32_t number : job.offer.done_tasks) {
         mark_done(job, number);
     }
-    count_known_crashes(job);
+    count_losses(job);
     adopt_runs(now, job);
     // Tasks may have been started for a former owner, so a refusal would not be true, and the job must not
     // move to another pool.
@@ -232,7 +232,7 @@
             job.tasks[number].state = run.stopping ? task_state::stopping : task_state::running;
             job.tasks[number].run = run.number;
             job.tasks[number].worker = id;
-            run.isolated = is_suspect(job.tasks[number]);
+            run.isolated = job.tasks[number].suspected;
             job.started = true;
             --job.waiting;
         }
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds initial_ejection{1000};
 constexpr unsigned max_ejection_doublings = 2;
 constexpr milliseconds orphan_end_retention{3000};
+// Longer than a task waits for its next start.
+constexpr milliseconds loss_retention{60'000};
 // A worker's steady clock may be 2% slow (platform protocol, "Running tasks").
 constexpr int clock_drift_divisor = 50;
 // Maximum age of a worker's clock offset: idle workers are listed this often, so that clock drift takes at
@@ -260,7 +262,8 @@
     const bool list_state_lost =
         worker.unreachable || !worker.listed || answer.incarnation != worker.incarnation;
     worker.list_pending = false;
-    worker.process_ended = false;
+    worker.refused = false;
+    worker.replaced = false;
     worker.answered_list_sent = worker.list_sent;
     worker.unanswered_lists = 0;
     if (worker.unreachable) {
@@ -329,15 +332,18 @@
             missing.push_back(ref);
         }
     }
-    if (crashed) {
-        add_crash_group(worker, missing);
-    }
+    sort_by_start(worker, missing);
     for (const task_ref& ref : missing) {
         end_run(now, worker, ref, crashed ? run_end::crashed : run_end::lapsed);
     }
-    for (auto& [ref, run] : worker.runs) {
-        run.process_ended =
-            run.process_ended || (crashed && run.sent <= worker.list_sent && !present.contains(ref));
+    if (crashed) {
+        // Starts that got no answer may have been what the former process ran last.
+        for (const auto& [ref, run] : worker.runs) {
+            if (!run.first_list_with_run && run.sent <= worker.list_sent && !present.contains(ref)) {
+                missing.push_back(ref);
+            }
+        }
+        add_loss(now, worker, missing, true);
     }
     worker.incarnation = answer.incarnation;
     if (!worker.runs.empty() || worker.ends_pending) {
@@ -363,17 +369,22 @@
         return;
     }
     if (cause == list_failure::other_incarnation) {
-        on_process_ended(now, worker, "replaced", true);
+        on_worker_replaced(now, worker);
         return;
     }
-    if (cause == list_failure::gone) {
-        on_process_ended(now, worker, to_string(cause), false);
+    // Some cuts refuse connections, too, so that runs count as ended only when their leases have expired.
+    worker.refused = worker.refused || cause == list_failure::gone;
+    const bool isolates = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                      [](const auto& entry) { return entry.second.isolated; });
+    if (cause == list_failure::gone && isolates) {
+        m_crashed_by_suspects.try_emplace(id, now);
     }
     // The worker is reachable if it has answered another command since the list was sent.
     const bool reachable = cause != list_failure::gone && worker.last_answer_at > worker.list_sent &&
                            worker.unanswered_lists <= max_immediate_lists;
     if (!worker.unreachable && !reachable) {
         worker.unreachable = true;
+        worker.silent_since = now;
         record(decision::worker_silent, {}, id, std::string(to_string(cause)), elapsed(now, worker.list_sent),
                elapsed(worker.leases_expire_at, now));
     }
@@ -393,16 +404,14 @@
     worker.listed = false;
     record(decision::worker_lapsed, {}, worker.entry.id, "lease lapsed",
            milliseconds(static_cast<std::int64_t>(expired.size())));
-    // The directory may know of a next incarnation before the worker answers.
-    const bool replaced = worker.incarnation != 0 && worker.entry.incarnation > worker.incarnation;
+    // The directory may know of the next incarnation before the worker answers.
+    const bool crashed = worker.incarnation != 0 && worker.entry.incarnation > worker.incarnation &&
+                         !has_announced_end(worker);
+    sort_by_start(worker, expired);
     for (const task_ref& ref : expired) {
-        if (worker.runs.at(ref).process_ended || (replaced && !has_announced_end(worker))) {
-            end_run(now, worker, ref, run_end::crashed);
-        } else {
-            end_run(now, worker, ref, run_end::lapsed);
-            add_silent_loss(now, worker, ref);
-        }
+        end_run(now, worker, ref, crashed ? run_end::crashed : run_end::lapsed);
     }
+    add_loss(now, worker, expired, crashed);
 }
 
 void pool::requeue(job_record& job, std::uint32_t number)
@@ -416,7 +425,6 @@
 {
     if (!run.first_list_with_run) {
         run.first_list_with_run = worker.lists_sent + 1;
-        run.process_ended = false;
     }
 }
 
@@ -470,11 +478,6 @@
         }
     } else if (end == run_end::failed) {
         record_failure(now, worker, ref.job);
-    } else if (end == run_end::crashed) {
-        if (ended.isolated) {
-            m_crashed_by_suspects[worker.entry.id] = now;
-        }
-        count_crash(now, worker.entry.id, incarnation_of(worker), ref);
     }
     job_record* job = find_job(ref.job);
     if (job == nullptr || ended.orphan) {
@@ -492,7 +495,9 @@
         task.state = task_state::done;
         ++job->done;
         --job->unfinished_in_step.at(ref.step);
-        count_suspects(*job);
+        if (job->suspects_in_step.at(ref.step) > 0) {
+            count_suspects(*job);
+        }
         m_finished_tasks[ref.job].push_back(number);
         if (job->done == job->tasks.size()) {
             m_finished_tasks.erase(ref.job);
@@ -598,7 +603,7 @@
     }
     expire_grants(now);
     forget_released_owners(now);
-    forget_crash_groups(now);
+    std::erase_if(m_losses, [now](const worker_loss& loss) { return now > loss.at + loss_retention; });
     const time_point listed_since = lists_needed_since(now);
     for (auto& [id, worker] : m_workers) {
         check_runs(now, worker);
--- a/tests/workers/virtual_workers.h
+++ b/tests/workers/virtual_workers.h
@@ -15,17 +15,18 @@
 
 /// Behaviour of a virtual worker and of the network to it.
 struct worker_behaviour {
-    double slowness = 1;             ///< factor on durations
-    bool fails = false;              ///< every run fails at once
-    bool unreachable = false;        ///< commands are lost; runs continue under their lease
-    double delayed_starts = 0;       ///< share of starts that get no answer and arrive seconds later
-    double lost_lists = 0;           ///< share of lost list commands
-    double delayed_commands = 0;     ///< share of commands that get no answer and arrive seconds later
-    double duplicated_commands = 0;  ///< share of commands that get no answer and arrive twice
-    double lost_answers = 0;         ///< share of lost answers
-    double lost_stops = 0;           ///< share of lost stop commands
-    milliseconds jitter{};           ///< maximum random delay of each command and each answer
-    bool guards_capacity = true;     ///< starts beyond the capacity are rejected
+    double slowness = 1;               ///< factor on durations
+    bool fails = false;                ///< every run fails at once
+    bool unreachable = false;          ///< commands are lost; runs continue under their lease
+    double delayed_starts = 0;         ///< share of starts that get no answer and arrive seconds later
+    double lost_lists = 0;             ///< share of lost list commands
+    double delayed_commands = 0;       ///< share of commands that get no answer and arrive seconds later
+    double duplicated_commands = 0;    ///< share of commands that get no answer and arrive twice
+    double lost_answers = 0;           ///< share of lost answers
+    double lost_stops = 0;             ///< share of lost stop commands
+    milliseconds jitter{};             ///< maximum random delay of each command and each answer
+    bool refuses_connections = false;  ///< like unreachable, and the sender learns it at once
+    bool guards_capacity = true;       ///< starts beyond the capacity are rejected
 };
 
 /// What callers see of a worker whose process has ended.
