--- a/tests/instance/fleet_callers.cpp
+++ b/tests/instance/fleet_callers.cpp
@@ -75,7 +75,7 @@
 std::string virtual_callers::send_crashing_job(std::optional<std::size_t> instance, std::uint32_t tasks,
                                                milliseconds time_limit)
 {
-    const std::string id = add(tasks, milliseconds(60), time_limit);
+    std::string id = add(tasks, milliseconds(60), time_limit);
     m_jobs.at(id).content.payload = virtual_workers::crashing_payload;
     submit(id, instance);
     return id;
--- a/tests/workers/crashes_test.cpp
+++ b/tests/workers/crashes_test.cpp
@@ -52,7 +52,7 @@
     /// The same, and another worker has the address then.
     worker_id crash()
     {
-        const worker_id crashed = lose_refusing();
+        worker_id crashed = lose_refusing();
         fail_list(crashed, list_failure::other_incarnation);
         advance(step);
         return crashed;
