--- a/source/http/http.h
+++ b/source/http/http.h
@@ -45,7 +45,7 @@
 struct response {
     outcome_kind outcome = outcome_kind::not_sent;
     bool written = false;         ///< at least one byte of the request was written
-    bool refused = false;         ///< the last connection was refused: no process listens at the address
+    bool refused = false;         ///< the last connection was refused, by the host or by a network in between
     int status = 0;               ///< where answered
     std::vector<header> headers;  ///< names in lower case; empty unless the client keeps headers
     std::string body;
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -256,6 +256,7 @@
     bool may_start_tasks(time_point now, const job_record& job) const;
     /// True if all runs are known that a former holder of the job has started.
     bool knows_former_runs(time_point now, const job_record& job) const;
+    /// True if all steps that the task waits for have finished.
     bool follows_finished_steps(const job_record& job, std::uint32_t number) const;
     /// True if the task waits for nothing but a worker.
     bool is_ready(time_point now, const job_record& job, std::uint32_t number) const;
@@ -312,6 +313,7 @@
                                                   std::uint32_t index);
     /// Counts the known losses of each task.
     void count_losses(time_point now, job_record& job) const;
+    /// Counts the suspected tasks of each step.
     void count_suspects(job_record& job) const;
     /// Answers an offer of a job under a task of which too many workers have crashed. @returns false for
     /// others
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -379,7 +379,7 @@
     refused,            ///< the worker does not accept the command, or its answer cannot be read
     unanswered,         ///< no answer in time
     lost,               ///< the connection ended without an answer
-    gone,               ///< no process listens at the worker's address
+    gone,  ///< the connection was refused, which a cut may do as well as a host without the process
 };
 inline constexpr std::size_t list_failure_count = 6;
 
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -99,7 +99,7 @@
 
 BOOST_AUTO_TEST_SUITE(when_no_process_listens_at_an_address)
 
-// Guards against a process that has ended being taken for one that is only silent.
+// Guards against a refused connection being taken for silence.
 BOOST_FIXTURE_TEST_CASE(the_call_is_refused, fixture)
 {
     request wanted = good();
--- a/tests/users_platform/codec_test.cpp
+++ b/tests/users_platform/codec_test.cpp
@@ -131,7 +131,7 @@
     BOOST_TEST((listed.value().ended[0].end == workers::run_end::done));
 }
 
-// Guards against a worker that is only silent being taken for one whose process has ended.
+// Guards against a worker that is only silent being taken for one that refuses connections.
 BOOST_AUTO_TEST_CASE(a_list_without_an_answer)
 {
     using workers::list_failure;
