common, platform, entry: the signal thread ends at once

Cause: the thread that forwards signals looked for the end every 200 ms, counted from the stop signal; the process waits for it after its farewell of 150 ms. Since 6 s are 30 such periods, it ended at the grace time at the earliest. Only a drain that uses its whole time shows it, which needs a job that outlives it; the soak has such jobs since it sends tasks that crash their workers.

The thread now waits for signals without a limit and is woken by one at the end.

--- a/source/entry/main.cpp
+++ b/source/entry/main.cpp
@@ -103,17 +103,6 @@
     return signals;
 }
 
-// Waits for stop signals: the first starts a drain, a second one ends it.
-void forward_signals(entry::core_inbox& inbox, const sigset_t& signals, const std::stop_token& stop)
-{
-    const timespec poll_interval{0, 200'000'000};
-    while (!stop.stop_requested()) {
-        if (sigtimedwait(&signals, nullptr, &poll_interval) > 0) {
-            inbox.push(entry::drain_requested{true});
-        }
-    }
-}
-
 exit_code run(const settings::entry_settings& values)
 {
     const sigset_t signals = stop_signals();
@@ -132,8 +121,9 @@
                      .append(addresses.inner.value())
                      .append("\"}\n")
               << std::flush;
-    const std::jthread signal_thread(
-        [&](const std::stop_token& stop) { forward_signals(daemon.value()->inbox(), signals, stop); });
+    // The first stop signal starts a drain, a second one ends it.
+    const signal_thread signal_forwarding(
+        signals, [&](int) { daemon.value()->inbox().push(entry::drain_requested{true}); });
     return daemon.value()->run() == 0 ? exit_code::ok : exit_code::failed;
 }
 
--- a/tests/users_platform/end_to_end_test.cpp
+++ b/tests/users_platform/end_to_end_test.cpp
@@ -150,6 +150,21 @@
     }
 }
 
+// Guards against a process that ends only when it is killed, with answers that it has not sent.
+BOOST_AUTO_TEST_CASE(a_job_that_outlives_the_grace_time_does_not_delay_the_end)
+{
+    deployment world;
+    auto answer =
+        std::async(std::launch::async, [&] { return world.submit(0, "00000000000000ab", 5500, 1); });
+    integration::require_eventually("the task runs", [&] { return world.platform().running() == 1; });
+    const auto signalled = std::chrono::steady_clock::now();
+    world.process(0).signal(SIGTERM);
+    BOOST_TEST(world.process(0).wait_for_exit(2 * grace).value_or(-1) == 0);
+    const auto taken = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - signalled);
+    BOOST_TEST(taken.count() <= grace.count());
+    answer.wait();
+}
+
 // Guards against a path of a job that needs the store.
 BOOST_AUTO_TEST_CASE(jobs_are_served_while_the_store_is_away)
 {
