workers: a lost connection makes a task run alone, and all instances know at once

What callers saw: a task that crashes its workers took three of them, and after a killed holder or owner four; the workers' other tasks are lost with each.

Cause: what was known of a loss stayed with the holder that had seen it, and came late there. - Only refused connections made the next start run alone. A crash that closes connections looked like a cut, so that the second worker was shared, too, and two crashes beside others prove nothing. - That connections were refused was not part of the row that other instances keep; the next holder or the holder after a resubmission started the task beside others. - A loss was told when the lease had lapsed, 0.8 s later; a holder that was killed or gave the pool away until then took it along. - Only the holder that had seen a loss could prove the crash when the worker was back. - An offer of a job that had failed after three losses without proof was started again.

Now a row says `disconnected` and whether the task ran alone. It is told 300 ms after the connection was lost, when it is known whether several workers were lost together, and at a hand-over at once. Each holder explains the rows of its jobs: by a list of the worker, a later incarnation in the directory, or another worker at the address. list_failure::lost and gone are connection_lost and connection_refused.

--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -96,7 +96,7 @@
     m_outputs.log_hold("pool dropped", pool, cause);
     // The owners must learn of the new holder from the statuses, not from this instance's own.
     m_outputs.on_held_changed(now);
-    node.mapped()->hand_over();
+    node.mapped()->hand_over(now);
     for (workers::action& action : node.mapped()->take_actions()) {
         if (!std::holds_alternative<workers::list_command>(action)) {
             execute(now, pool, node.mapped()->token(), action);
--- a/source/wire/convert_workers.cpp
+++ b/source/wire/convert_workers.cpp
@@ -79,7 +79,7 @@
 flatbuffers::Offset<fb::task_loss> pack(builder& out, const workers::task_loss& value)
 {
     return fb::Createtask_loss(out, value.step, value.index, wire::pack(out, value.worker), value.incarnation,
-                               static_cast<std::uint8_t>(value.cause));
+                               static_cast<std::uint8_t>(value.cause), value.alone);
 }
 
 using loss_tables = flatbuffers::Vector<flatbuffers::Offset<fb::task_loss>>;
@@ -94,8 +94,12 @@
             losses, unpack_each(*tables, [](const fb::task_loss& item) {
                 const bool known = item.cause() < workers::loss_cause_count;
                 return workers::task_loss{
-                    item.step(), item.index(), workers::worker_id(item.worker()->str()), item.incarnation(),
-                    known ? static_cast<workers::loss_cause>(item.cause()) : workers::loss_cause::unknown};
+                    item.step(),
+                    item.index(),
+                    workers::worker_id(item.worker()->str()),
+                    item.incarnation(),
+                    known ? static_cast<workers::loss_cause>(item.cause()) : workers::loss_cause::unknown,
+                    item.alone()};
             }));
     }
     return losses;
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -65,7 +65,7 @@
     void on_other_pools(std::vector<pool_load> loads);
     void on_tick(time_point now);
     /// Returns every job to its owner with the tasks that may run. The runs continue under their leases.
-    void hand_over();
+    void hand_over(time_point now);
 
     /// True if a worker has reported a higher token: another instance holds the pool.
     bool is_fenced() const { return m_fenced; }
@@ -140,7 +140,7 @@
         std::uint64_t incarnation = 0;
         time_point at;
         bool crashed = false;         ///< proved: the process has ended
-        bool refused = false;         ///< connections were refused, as after most crashes and in some cuts
+        bool disconnected = false;    ///< connections are refused or closed, as after most crashes
         bool other_cause = false;     ///< another task is known to crash its workers
         bool alone = false;           ///< a suspected task ran alone on it
         bool common = false;          ///< several workers were lost at once, which one task does not cause
@@ -180,10 +180,11 @@
         std::uint64_t acknowledged = 0;
         std::map<task_ref, run_record> runs;
         std::map<task_ref, abandoned_run> abandoned;  ///< may be executed late
-        bool refused = false;                         ///< a connection, since the last list that was answered
-        bool replaced = false;                        ///< its process is known to have ended
-        time_point silent_since;                      ///< last time that it became unreachable or restarted
-        bool silent_alone = false;                    ///< a suspected task ran on it at that time
+        bool disconnected = false;         ///< connections were lost since the last list that was answered
+        bool disconnect_reported = false;  ///< the tasks that it ran are known to all instances
+        bool replaced = false;             ///< its process is known to have ended
+        time_point silent_since;           ///< last time that it became unreachable or restarted
+        bool silent_alone = false;         ///< a suspected task ran on it at that time
         std::optional<std::uint64_t> leaving_incarnation;  ///< the last one that announced its end
         resources used;
         speed_estimate speed;
@@ -284,6 +285,9 @@
     /// Part of the objective that is needed to send the start and to receive the end of a task.
     milliseconds reporting_time() const;
     // Tasks that crash their workers
+    /// Workers that fall silent within this time of each other may have a common cause, as fast as lists are
+    /// sent.
+    static constexpr milliseconds common_loss_window{300};
     /// The incarnation of a worker that was heard last.
     static std::uint64_t incarnation_of(const worker_record& worker);
     /// True if the worker's present incarnation has announced that it leaves.
@@ -294,6 +298,14 @@
     static void sort_by_start(const worker_record& worker, std::vector<task_ref>& tasks);
     /// Notes when a worker that was reachable so far was lost.
     static void note_silence(time_point now, worker_record& worker);
+    /// Notes that runs were lost with a worker, or may be.
+    /// @param crashed its process is known to have ended
+    worker_loss& note_loss(time_point now, const worker_record& worker, const std::vector<task_ref>& tasks,
+                           bool crashed);
+    /// What is known of a loss so far.
+    static loss_cause cause_of(const worker_loss& loss);
+    /// Reports runs on a worker that has closed its connections, although their leases have not expired.
+    void report_disconnected(time_point now, worker_record& worker);
     /// Notes that runs have ended with a worker.
     /// @param crashed its process is known to have ended
     void add_loss(time_point now, worker_record& worker, const std::vector<task_ref>& tasks, bool crashed);
@@ -302,6 +314,13 @@
     /// Tells crashes from cuts when a silent worker is heard of again.
     /// @param present its incarnation; nothing if its process has ended
     void explain_silence(time_point now, const worker_record& worker, std::optional<std::uint64_t> present);
+    /// The same for losses that another holder has reported, since it may be gone.
+    void explain_reported(time_point now, const worker_record& worker, std::optional<std::uint64_t> present);
+    /// Sets the cause of the job's losses of a worker and tells all instances. @returns true if there are any
+    bool explain_losses_of(job_record& job, const worker_record& worker,
+                           std::optional<std::uint64_t> present);
+    /// Explains losses of workers that have restarted since.
+    void explain_by_directory(job_record& job);
     /// Tells all instances, and the job if it is here, of a loss or of its cause.
     void report_loss(const worker_loss& loss, const std::vector<task_ref>& tasks, loss_cause cause);
     /// True if the job had tasks on several workers that were lost at once.
--- a/source/workers/pool_crashes.cpp
+++ b/source/workers/pool_crashes.cpp
@@ -12,9 +12,8 @@
 constexpr std::uint32_t max_losses = max_crashes + 1;
 // A crashed worker is back after some seconds, or its entry lapses after three heartbeats of 1.5 s.
 constexpr milliseconds explanation_time{5000};
-// Workers of a rack or behind a cut become silent together, as fast as lists are sent.
+// Workers of a rack or behind a cut become silent together.
 constexpr std::size_t workers_lost_together = 3;
-constexpr milliseconds together{300};
 // One in this many workers may run suspected tasks, so that many of them at once leave most of the pool to
 // the others.
 constexpr std::size_t pool_share_for_suspects = 3;
@@ -73,6 +72,7 @@
     m_crashed_by_suspects.erase(worker.entry.id);
     note_silence(now, worker);
     explain_silence(now, worker, std::nullopt);
+    explain_reported(now, worker, std::nullopt);
     sort_by_start(worker, ended);
     for (const task_ref& ref : ended) {
         end_run(now, worker, ref, planned ? run_end::lapsed : run_end::crashed);
@@ -87,6 +87,7 @@
         return;
     }
     worker.silent_since = now;
+    worker.disconnect_reported = false;
     worker.silent_alone = std::any_of(worker.runs.begin(), worker.runs.end(),
                                       [](const auto& entry) { return entry.second.isolated; });
 }
@@ -96,16 +97,14 @@
     const auto near = std::count_if(m_workers.begin(), m_workers.end(), [&worker](const auto& entry) {
         const duration apart = entry.second.silent_since - worker.silent_since;
         // Suspected tasks crash their workers at the same time now and then.
-        return std::max(apart, -apart) <= together && !entry.second.silent_alone;
+        return std::max(apart, -apart) <= common_loss_window && !entry.second.silent_alone;
     });
     return worker.silent_since != time_point{} && static_cast<std::size_t>(near) >= workers_lost_together;
 }
 
-void pool::add_loss(time_point now, worker_record& worker, const std::vector<task_ref>& tasks, bool crashed)
+pool::worker_loss& pool::note_loss(time_point now, const worker_record& worker,
+                                   const std::vector<task_ref>& tasks, bool crashed)
 {
-    if (tasks.empty() || has_announced_end(worker)) {
-        return;
-    }
     const std::uint64_t incarnation = incarnation_of(worker);
     auto loss = std::find_if(m_losses.begin(), m_losses.end(), [&](const worker_loss& known) {
         return known.worker == worker.entry.id && known.incarnation == incarnation;
@@ -115,11 +114,49 @@
         loss = std::prev(m_losses.end());
     }
     loss->crashed = loss->crashed || crashed;
-    loss->refused = loss->refused || worker.refused;
-    loss->alone = worker.silent_alone && tasks.size() == 1;
+    loss->disconnected = loss->disconnected || worker.disconnected;
     loss->common = loss->common || is_lost_with_others(worker);
-    loss->tasks.insert(loss->tasks.end(), tasks.begin(), tasks.end());
-    report_loss(*loss, tasks, loss->crashed ? loss_cause::crash : loss_cause::unknown);
+    for (const task_ref& ref : tasks) {
+        if (std::find(loss->tasks.begin(), loss->tasks.end(), ref) == loss->tasks.end()) {
+            loss->tasks.push_back(ref);
+        }
+    }
+    loss->alone = worker.silent_alone && loss->tasks.size() == 1;
+    return *loss;
+}
+
+loss_cause pool::cause_of(const worker_loss& loss)
+{
+    if (loss.crashed) {
+        return loss_cause::crash;
+    }
+    return loss.disconnected ? loss_cause::disconnected : loss_cause::unknown;
+}
+
+void pool::add_loss(time_point now, worker_record& worker, const std::vector<task_ref>& tasks, bool crashed)
+{
+    if (tasks.empty() || has_announced_end(worker)) {
+        return;
+    }
+    const worker_loss& loss = note_loss(now, worker, tasks, crashed);
+    report_loss(loss, tasks, cause_of(loss));
+    on_losses_changed(now, tasks);
+}
+
+void pool::report_disconnected(time_point now, worker_record& worker)
+{
+    if (!worker.unreachable || !worker.disconnected || worker.disconnect_reported || worker.runs.empty() ||
+        has_announced_end(worker)) {
+        return;
+    }
+    worker.disconnect_reported = true;
+    std::vector<task_ref> tasks;
+    for (const auto& [ref, run] : worker.runs) {
+        tasks.push_back(ref);
+    }
+    sort_by_start(worker, tasks);
+    const worker_loss& loss = note_loss(now, worker, tasks, false);
+    report_loss(loss, tasks, cause_of(loss));
     on_losses_changed(now, tasks);
 }
 
@@ -142,15 +179,50 @@
     on_losses_changed(now, explained);
 }
 
+void pool::explain_reported(time_point now, const worker_record& worker, std::optional<std::uint64_t> present)
+{
+    std::vector<job_id> failed;
+    for (auto& [id, job] : m_jobs) {
+        if (explain_losses_of(*job, worker, present)) {
+            count_losses(now, *job);
+            failed.push_back(id);
+        }
+    }
+    for (const job_id& id : failed) {
+        give_up_if_crashing(now, id);
+    }
+}
+
+bool pool::explain_losses_of(job_record& job, const worker_record& worker,
+                             std::optional<std::uint64_t> present)
+{
+    std::vector<task_loss> explained;
+    for (const task_loss& row : job.offer.losses) {
+        const bool open = row.cause == loss_cause::unknown || row.cause == loss_cause::disconnected;
+        if (!open || row.worker != worker.entry.id || row.incarnation == 0) {
+            continue;
+        }
+        const bool left = worker.entry.draining || worker.leaving_incarnation == row.incarnation;
+        explained.push_back(row);
+        explained.back().cause =
+            present != row.incarnation && !left ? loss_cause::crash : loss_cause::survived;
+    }
+    if (explained.empty()) {
+        return false;
+    }
+    merge_losses(job.offer.losses, explained);
+    m_actions.emplace_back(job_losses{job.offer.job, std::move(explained)});
+    return true;
+}
+
 void pool::report_loss(const worker_loss& loss, const std::vector<task_ref>& tasks, loss_cause cause)
 {
     for (const task_ref& ref : tasks) {
         if (loss.common && !lost_several(ref.job)) {
             continue;
         }
-        const bool alone = cause == loss_cause::crash && loss.alone;
         const std::vector<task_loss> losses{
-            {ref.step, ref.index, loss.worker, loss.incarnation, alone ? loss_cause::crash_alone : cause}};
+            {ref.step, ref.index, loss.worker, loss.incarnation, cause, loss.alone}};
         m_actions.emplace_back(job_losses{ref.job, losses});
         if (job_record* job = find_job(ref.job)) {
             merge_losses(job->offer.losses, losses);
@@ -176,9 +248,10 @@
         if (!number) {
             continue;
         }
-        count_losses(now, *job);
         const task_record& task = job->tasks[*number];
-        if (task.suspected) {
+        const auto before = std::pair(task.crashes, task.silent_losses);
+        count_losses(now, *job);
+        if (task.suspected && before != std::pair(task.crashes, task.silent_losses)) {
             record(decision::task_suspected, ref.job, {},
                    task_text(ref.step, ref.index) + ": " + std::to_string(task.crashes) +
                        " workers crashed, " + std::to_string(task.silent_losses) + " fell silent");
@@ -190,9 +263,25 @@
 void pool::on_losses(time_point now, const job_id& id, const std::vector<task_loss>& losses)
 {
     job_record* job = find_job(id);
-    if (job != nullptr && merge_losses(job->offer.losses, losses)) {
-        count_losses(now, *job);
-        give_up_if_crashing(now, id);
+    if (job == nullptr || !merge_losses(job->offer.losses, losses)) {
+        return;
+    }
+    explain_by_directory(*job);
+    count_losses(now, *job);
+    give_up_if_crashing(now, id);
+}
+
+void pool::explain_by_directory(job_record& job)
+{
+    for (const task_loss& row : std::vector<task_loss>(job.offer.losses)) {
+        const auto found = m_workers.find(row.worker);
+        if (found == m_workers.end()) {
+            continue;
+        }
+        const std::uint64_t latest = std::max(found->second.incarnation, found->second.entry.incarnation);
+        if (latest > row.incarnation) {
+            explain_losses_of(job, found->second, latest);
+        }
     }
 }
 
@@ -221,16 +310,15 @@
             return loss.worker == row.worker && loss.incarnation == row.incarnation;
         });
         const bool explained = known != m_losses.end() && known->other_cause;
-        const bool refused = known != m_losses.end() && known->refused;
         task_record& task = job.tasks[*number];
-        if (row.cause == loss_cause::crash || row.cause == loss_cause::crash_alone) {
+        if (row.cause == loss_cause::crash) {
             ++task.crashes;
-            task.crashed_alone = task.crashed_alone || row.cause == loss_cause::crash_alone;
-            task.suspected = task.suspected || !explained;
+            task.crashed_alone = task.crashed_alone || row.alone;
         } else {
             ++task.silent_losses;
-            task.suspected = task.suspected || task.silent_losses >= max_crashes || (refused && !explained);
         }
+        task.suspected = task.suspected || (row.cause != loss_cause::unknown && !explained) ||
+                         task.silent_losses >= max_crashes;
     }
     for (task_record& task : job.tasks) {
         if (task.crashes + task.silent_losses < max_crashes) {
@@ -254,10 +342,15 @@
 
 void pool::give_up_if_crashing(time_point now, const job_id& id)
 {
-    const job_record& job = *find_job(id);
+    const job_record* const held = find_job(id);
+    if (held == nullptr) {
+        return;
+    }
+    const job_record& job = *held;
     const auto found = std::find_if(job.tasks.begin(), job.tasks.end(), [](const task_record& task) {
-        return task.state != task_state::done && (is_guilty(task.crashes, task.crashed_alone) ||
-                                                  task.crashes + task.silent_losses >= max_losses);
+        return task.state != task_state::done &&
+               (is_guilty(task.crashes, task.crashed_alone) ||
+                (task.state == task_state::waiting && task.crashes + task.silent_losses >= max_losses));
     });
     if (found == job.tasks.end()) {
         return;
@@ -291,21 +384,24 @@
 
 bool pool::refuse_crashing(const endpoint& owner, const job_offer& offer)
 {
-    struct crash_count {
+    struct loss_count {
         std::uint32_t crashes = 0;
+        std::uint32_t silent = 0;
         bool alone = false;
     };
-    std::map<std::pair<std::uint32_t, std::uint32_t>, crash_count> crashes;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, loss_count> tasks;
     for (const task_loss& loss : offer.losses) {
-        crash_count& counted = crashes[{loss.step, loss.index}];
-        const bool alone = loss.cause == loss_cause::crash_alone;
-        counted.crashes += alone || loss.cause == loss_cause::crash ? 1 : 0;
-        counted.alone = counted.alone || alone;
+        loss_count& counted = tasks[{loss.step, loss.index}];
+        const bool crashed = loss.cause == loss_cause::crash;
+        counted.crashes += crashed ? 1 : 0;
+        counted.silent += crashed || loss.cause == loss_cause::survived ? 0 : 1;
+        counted.alone = counted.alone || (crashed && loss.alone);
     }
-    const auto found = std::find_if(crashes.begin(), crashes.end(), [](const auto& entry) {
-        return is_guilty(entry.second.crashes, entry.second.alone);
+    const auto found = std::find_if(tasks.begin(), tasks.end(), [](const auto& entry) {
+        const loss_count& counted = entry.second;
+        return is_guilty(counted.crashes, counted.alone) || counted.crashes + counted.silent >= max_losses;
     });
-    if (found == crashes.end()) {
+    if (found == tasks.end()) {
         return false;
     }
     record(decision::task_given_up, offer.job, {},
@@ -334,7 +430,7 @@
 bool pool::is_first_suspect(time_point now, const task_ref& ref) const
 {
     return std::all_of(m_losses.begin(), m_losses.end(), [&](const worker_loss& loss) {
-        const bool may_be_caused = (loss.crashed || loss.refused) && !loss.other_cause && !loss.common;
+        const bool may_be_caused = (loss.crashed || loss.disconnected) && !loss.other_cause && !loss.common;
         if (!may_be_caused || std::find(loss.tasks.begin(), loss.tasks.end(), ref) == loss.tasks.end()) {
             return true;
         }
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -116,6 +116,7 @@
     for (const std::uint32_t number : job.offer.done_tasks) {
         mark_done(job, number);
     }
+    explain_by_directory(job);
     count_losses(now, job);
     adopt_runs(now, job);
     // Tasks may have been started for a former owner, so a refusal would not be true, and the job must not
@@ -133,6 +134,7 @@
     }
     const job_id id = job.offer.job;
     m_jobs.emplace(id, std::move(created));
+    give_up_if_crashing(now, id);
     finish_if_done(now, id);
     schedule(now);
 }
@@ -422,8 +424,11 @@
     notify_owner(job.owner, not_held_answer(job));
 }
 
-void pool::hand_over()
+void pool::hand_over(time_point now)
 {
+    for (auto& [id, worker] : m_workers) {
+        report_disconnected(now, worker);
+    }
     for (const auto& [id, job] : m_jobs) {
         give_back(*job);
     }
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -262,7 +262,7 @@
     const bool list_state_lost =
         worker.unreachable || !worker.listed || answer.incarnation != worker.incarnation;
     worker.list_pending = false;
-    worker.refused = false;
+    worker.disconnected = false;
     worker.replaced = false;
     worker.answered_list_sent = worker.list_sent;
     worker.unanswered_lists = 0;
@@ -285,6 +285,9 @@
         note_silence(now, worker);
     }
     explain_silence(now, worker, answer.incarnation);
+    if (list_state_lost && answer.incarnation != 0) {
+        explain_reported(now, worker, answer.incarnation);
+    }
     if (worker.lists_sent >= worker.first_clock_list) {
         update_clock_offset(now, worker, answer.clock_ms);
     } else {
@@ -377,14 +380,17 @@
         return;
     }
     // Some cuts refuse connections, too, so that runs count as ended only when their leases have expired.
-    worker.refused = worker.refused || cause == list_failure::gone;
+    const bool disconnected =
+        cause == list_failure::connection_refused || cause == list_failure::connection_lost;
+    worker.disconnected = worker.disconnected || disconnected;
     const bool isolates = std::any_of(worker.runs.begin(), worker.runs.end(),
                                       [](const auto& entry) { return entry.second.isolated; });
-    if (cause == list_failure::gone && isolates) {
+    if (disconnected && isolates) {
         m_crashed_by_suspects.try_emplace(id, now);
     }
     // The worker is reachable if it has answered another command since the list was sent.
-    const bool reachable = cause != list_failure::gone && worker.last_answer_at > worker.list_sent &&
+    const bool reachable = cause != list_failure::connection_refused &&
+                           worker.last_answer_at > worker.list_sent &&
                            worker.unanswered_lists <= max_immediate_lists;
     if (!worker.unreachable && !reachable) {
         note_silence(now, worker);
@@ -613,6 +619,9 @@
         check_runs(now, worker);
         std::erase_if(worker.abandoned,
                       [now](const auto& entry) { return now > entry.second.at + max_command_delay; });
+        if (now >= worker.silent_since + common_loss_window) {
+            report_disconnected(now, worker);
+        }
         if (worker.unreachable || !worker.listed) {
             expire_runs(now, worker);
         }
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -49,18 +49,20 @@
 {
     bool changed = false;
     for (const task_loss& loss : more) {
-        task_loss first = loss;
-        first.cause = loss_cause::unknown;
+        const task_loss first{loss.step, loss.index, loss.worker, loss.incarnation};
         const auto position = std::lower_bound(known.begin(), known.end(), first);
-        task_loss same = loss;
-        same.cause = position == known.end() ? loss_cause::unknown : position->cause;
-        if (position == known.end() || *position != same) {
+        const bool is_known = position != known.end() && position->step == loss.step &&
+                              position->index == loss.index && position->worker == loss.worker &&
+                              position->incarnation == loss.incarnation;
+        if (!is_known) {
             known.insert(position, loss);
             changed = true;
-        } else if (position->cause < loss.cause) {
-            position->cause = loss.cause;
-            changed = true;
+            continue;
         }
+        const task_loss before = *position;
+        position->cause = std::max(before.cause, loss.cause);
+        position->alone = before.alone || loss.alone;
+        changed = changed || *position != before;
     }
     return changed;
 }
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -75,10 +75,10 @@
 
 /// What became of a worker that was lost while it ran a task. Later values replace earlier ones.
 enum class loss_cause : std::uint8_t {
-    unknown,      ///< it fell silent
-    crash,        ///< its process has ended
-    crash_alone,  ///< the same, and nothing else ran on it
-    survived,     ///< the same process was heard of again
+    unknown,       ///< it fell silent
+    disconnected,  ///< connections to it are refused or closed, as after a crash and in some cuts
+    crash,         ///< its process has ended
+    survived,      ///< the same process was heard of again
 };
 inline constexpr std::size_t loss_cause_count = 4;
 
@@ -89,11 +89,12 @@
     worker_id worker;
     std::uint64_t incarnation = 0;  ///< of the worker
     loss_cause cause = loss_cause::unknown;
+    bool alone = false;  ///< nothing else ran on the worker
 
     auto operator<=>(const task_loss&) const = default;
 };
 
-/// Adds the losses that are not known yet, and the causes of others.
+/// Adds the losses that are not known yet, and what is new of others.
 /// @param known ascending, one for each task and incarnation, also afterwards
 /// @returns true if anything was new
 bool merge_losses(std::vector<task_loss>& known, const std::vector<task_loss>& more);
@@ -375,11 +376,11 @@
 
 enum class list_failure {
     fenced,
-    other_incarnation,  ///< another worker has the address
-    refused,            ///< the worker does not accept the command, or its answer cannot be read
-    unanswered,         ///< no answer in time
-    lost,               ///< the connection ended without an answer
-    gone,  ///< the connection was refused, which a cut may do as well as a host without the process
+    other_incarnation,   ///< another worker has the address
+    refused,             ///< the worker does not accept the command, or its answer cannot be read
+    unanswered,          ///< no answer in time
+    connection_lost,     ///< the connection ended without an answer
+    connection_refused,  ///< which a cut may do as well as a host without the process
 };
 inline constexpr std::size_t list_failure_count = 6;
 
--- a/tests/instance/fleet_workers.cpp
+++ b/tests/instance/fleet_workers.cpp
@@ -48,7 +48,7 @@
     if (std::holds_alternative<workers::stop_command>(order)) {
         return no_answer(order);
     }
-    return workers::list_failure::gone;
+    return workers::list_failure::connection_refused;
 }
 
 const workers::worker_id& target_of(const worker_order& order)
@@ -295,7 +295,8 @@
         m_time.after(milliseconds(1), [made] {
             if (!std::exchange(made->answered, true)) {
                 const bool list = std::holds_alternative<workers::list_command>(made->order);
-                made->answer(list ? order_answer(workers::list_failure::lost) : no_answer(made->order));
+                made->answer(list ? order_answer(workers::list_failure::connection_lost)
+                                  : no_answer(made->order));
             }
         });
     }
--- a/tests/instance/pool_host_test.cpp
+++ b/tests/instance/pool_host_test.cpp
@@ -141,7 +141,7 @@
     f.host.on_losses(
         f.now, {workers::job_id("j"), {{0, 0, workers::worker_id("x"), 1, workers::loss_cause::crash}}});
     f.host.on_losses(f.now, {workers::job_id("j"),
-                             {{0, 0, workers::worker_id("y"), 1, workers::loss_cause::crash_alone}}});
+                             {{0, 0, workers::worker_id("y"), 1, workers::loss_cause::crash, true}}});
     BOOST_TEST(f.host.losses_of(workers::job_id("j")).size() == 2U);
     workers::job_offer offer = fixture::offer();
     BOOST_TEST(f.host.on_offer(f.now, offer));
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -91,7 +91,7 @@
 void promises::on_departed(job_record& job, const std::vector<int>& statuses)
 {
     const std::size_t crashes = m_world.workers().crashes_under(job.id + ".0.0.0");
-    if (m_bounds.calm_crashes && is_calm(job.sent) && crashes > calm_crashes) {
+    if (is_calm(job.sent) && crashes > calm_crashes) {
         violate("job " + job.id + " has crashed " + std::to_string(crashes) + " workers");
     }
     job.departed = clock::now();
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -38,7 +38,6 @@
     milliseconds config{2000};     ///< a configuration is in force
     milliseconds grace{6000};      ///< from the stop signal to the end of the process
     milliseconds loss_slack{200};  ///< of a connection that a stopping instance closes
-    bool calm_crashes = false;     ///< whether the target for tasks that crash their workers is checked
 };
 
 /// Compares what callers and workers see with what is promised.
--- a/tests/users_platform/codec_test.cpp
+++ b/tests/users_platform/codec_test.cpp
@@ -142,9 +142,9 @@
     ended.outcome = http::outcome_kind::timed_out;
     BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::unanswered));
     ended.outcome = http::outcome_kind::lost;
-    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::lost));
+    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::connection_lost));
     ended.refused = true;
-    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::gone));
+    BOOST_TEST((codec.decode_list(order, ended).error() == list_failure::connection_refused));
     BOOST_TEST((codec.decode_list(order, answered(421, "")).error() == list_failure::other_incarnation));
 }
 
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -65,7 +65,7 @@
     offer.done_tasks = {0};
     offer.order = owner_order::only;
     offer.attempt = offer_number(6);
-    offer.losses = {{1, 2, worker_id("i-1"), 3, loss_cause::crash},
+    offer.losses = {{1, 2, worker_id("i-1"), 3, loss_cause::crash, true},
                     {1, 2, worker_id("i-2"), 4, loss_cause::survived}};
     const pool_load load{offer.pool, offer.service, fencing_token(9), 1, 2, 3, 4, 5};
     return {
--- a/tests/workers/crashes_test.cpp
+++ b/tests/workers/crashes_test.cpp
@@ -44,7 +44,7 @@
     {
         const start_command start = starts.back();
         confirm(start);
-        fail_list(start.target.worker, list_failure::gone);
+        fail_list(start.target.worker, list_failure::connection_refused);
         pass(lapse);
         return start.target.worker;
     }
@@ -78,8 +78,7 @@
     std::ptrdiff_t crash_count() const
     {
         return std::count_if(losses.begin(), losses.end(), [](const job_losses& report) {
-            return report.losses[0].cause == loss_cause::crash ||
-                   report.losses[0].cause == loss_cause::crash_alone;
+            return report.losses[0].cause == loss_cause::crash;
         });
     }
 
@@ -98,7 +97,7 @@
     offer_job(lasting_offer("j", 1));
     const start_command start = starts.back();
     confirm(start);
-    fail_list(start.target.worker, list_failure::gone);
+    fail_list(start.target.worker, list_failure::connection_refused);
     pass(milliseconds(700));
     BOOST_TEST(starts.size() == 1U);
     pass(lapse);
@@ -120,6 +119,45 @@
     BOOST_TEST(!has_failed());
 }
 
+// Guards against a loss that is gone with its holder, and a next start beside other tasks.
+BOOST_FIXTURE_TEST_CASE(all_instances_know_before_the_lease_has_lapsed, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    fail_list(start.target.worker, list_failure::connection_refused);
+    pass(milliseconds(400));
+    BOOST_REQUIRE_EQUAL(losses.size(), 1U);
+    BOOST_TEST(
+        (losses[0] == job_losses{job_id("j"), {{0, 0, start.target.worker, 1, loss_cause::disconnected}}}));
+    BOOST_TEST(starts.size() == 1U);
+}
+
+// Guards against a loss that a former holder has not reported when the next one starts the task.
+BOOST_FIXTURE_TEST_CASE(a_hand_over_tells_of_it_at_once, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    fail_list(start.target.worker, list_failure::connection_refused);
+    get().hand_over(now());
+    collect_actions();
+    BOOST_REQUIRE_EQUAL(losses.size(), 1U);
+    BOOST_TEST((losses[0].losses[0].cause == loss_cause::disconnected));
+}
+
+// Guards against a connection that was reset and counts as a lost worker.
+BOOST_FIXTURE_TEST_CASE(nobody_is_told_if_it_answers_again, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    fail_list(start.target.worker, list_failure::connection_lost);
+    list(index_of(start.target.worker), {{start.task, start.run, 0}});
+    pass(milliseconds(400));
+    BOOST_TEST(losses.empty());
+}
+
 // Guards against a crash that nobody counts.
 BOOST_FIXTURE_TEST_CASE(it_has_crashed_if_another_worker_has_its_address, fixture)
 {
@@ -151,7 +189,7 @@
     const start_command start = starts.back();
     confirm(start);
     change_directory(workers, [&](auto& entries) { entries[index_of(start.target.worker)].draining = true; });
-    fail_list(start.target.worker, list_failure::gone);
+    fail_list(start.target.worker, list_failure::connection_refused);
     pass(lapse);
     fail_list(start.target.worker, list_failure::other_incarnation);
     BOOST_TEST(starts.size() == 2U);
@@ -173,13 +211,41 @@
     }
     BOOST_REQUIRE_EQUAL(lost.size(), 3U);
     for (const worker_id& id : lost) {
-        fail_list(id, list_failure::gone);
+        fail_list(id, list_failure::connection_refused);
     }
     pass(lapse);
     // One worker is left: two tasks fit.
     BOOST_TEST(starts.size() == 8U);
 }
 
+// Guards against a task that is started for ever, since others crash workers whenever it does.
+BOOST_FIXTURE_TEST_CASE(a_task_is_started_five_times_at_most, fixture)
+{
+    for (const char* const id : {"j", "k", "l"}) {
+        offer_job(lasting_offer(id, 2));
+    }
+    for (int round = 0; round < 12; ++round) {
+        for (const start_command& start : std::vector<start_command>(starts)) {
+            confirm(start);
+        }
+        for (std::size_t i = 0; i < workers; ++i) {
+            fail_list(entry(i).id, list_failure::connection_refused);
+        }
+        pass(lapse);
+        for (std::size_t i = 0; i < workers; ++i) {
+            list(i, {}, {}, static_cast<std::uint64_t>(round) + 2);
+        }
+        advance(step);
+    }
+    std::map<task_ref, std::size_t> count;
+    for (const start_command& start : starts) {
+        ++count[start.task];
+    }
+    for (const auto& [ref, started] : count) {
+        BOOST_TEST(started <= 5U, ref.job.value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(when_a_worker_answers_as_another_process)
@@ -311,6 +377,22 @@
     BOOST_TEST(starts.size() == 6U);
 }
 
+// Guards against the same after a crash that closes connections and refuses none.
+BOOST_FIXTURE_TEST_CASE(it_runs_alone_if_the_connection_was_lost, fixture)
+{
+    offer_job(lasting_offer("j", 1));
+    const start_command start = starts.back();
+    confirm(start);
+    fail_list(start.target.worker, list_failure::connection_lost);
+    pass(lapse);
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    const worker_id used = starts[1].target.worker;
+    offer_job(lasting_offer("k", 8));
+    BOOST_TEST(starts.size() == 6U);
+    BOOST_TEST(std::none_of(starts.begin() + 2, starts.end(),
+                            [&](const start_command& other) { return other.target.worker == used; }));
+}
+
 // Guards against a suspected task that never gets a worker for itself while others want them, too.
 BOOST_FIXTURE_TEST_CASE(a_worker_is_kept_free_for_it, fixture)
 {
@@ -405,12 +487,85 @@
 {
     job_offer offer = lasting_offer("j", 2);
     offer.losses = {{0, 1, worker_id("x"), 5, loss_cause::crash},
-                    {0, 1, worker_id("y"), 5, loss_cause::crash_alone}};
+                    {0, 1, worker_id("y"), 5, loss_cause::crash, true}};
+    offer_job(offer);
+    BOOST_TEST(starts.empty());
+    BOOST_TEST(has_failed());
+}
+
+// Guards against the same after losses of which no crash is proved.
+BOOST_FIXTURE_TEST_CASE(a_job_that_has_lost_three_workers_is_not_started_again, fixture)
+{
+    job_offer offer = lasting_offer("j", 2);
+    offer.losses = {{0, 1, worker_id("x"), 5, loss_cause::crash},
+                    {0, 1, worker_id("y"), 5, loss_cause::unknown},
+                    {0, 1, worker_id("z"), 5, loss_cause::disconnected}};
     offer_job(offer);
     BOOST_TEST(starts.empty());
     BOOST_TEST(has_failed());
 }
 
+// Guards against a next holder that starts the task beside others.
+BOOST_FIXTURE_TEST_CASE(a_lost_connection_makes_the_task_run_alone, fixture)
+{
+    job_offer offer = lasting_offer("j", 1);
+    offer.losses = {{0, 0, worker_id("x"), 5, loss_cause::disconnected}};
+    offer_job(offer);
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    const worker_id used = starts[0].target.worker;
+    offer_job(lasting_offer("k", 8));
+    BOOST_TEST(starts.size() == 7U);
+    BOOST_TEST(std::none_of(starts.begin() + 1, starts.end(),
+                            [&](const start_command& other) { return other.target.worker == used; }));
+}
+
+// Guards against a crash whose proof comes after the holder that has reported the loss is gone.
+BOOST_FIXTURE_TEST_CASE(a_worker_that_has_restarted_since_has_crashed, fixture)
+{
+    job_offer offer = lasting_offer("j", 1);
+    offer.losses = {{0, 0, entry(0).id, 1, loss_cause::disconnected, true}};
+    fail_list(entry(0).id, list_failure::connection_refused);
+    offer_job(offer);
+    list(0, {}, {}, 2);
+    BOOST_REQUIRE_EQUAL(losses.size(), 1U);
+    BOOST_TEST((losses[0] == job_losses{job_id("j"), {{0, 0, entry(0).id, 1, loss_cause::crash, true}}}));
+}
+
+// Guards against the same where the new holder has listed the worker before it gets the job.
+BOOST_FIXTURE_TEST_CASE(so_has_one_that_had_restarted_before, fixture)
+{
+    list(0, {}, {}, 2);
+    losses.clear();
+    job_offer offer = lasting_offer("j", 1);
+    offer.losses = {{0, 0, entry(0).id, 1, loss_cause::unknown}};
+    offer_job(offer);
+    BOOST_TEST(crash_count() == 1);
+}
+
+// Guards against a start of a task whose second crash only the new holder can prove.
+BOOST_FIXTURE_TEST_CASE(the_job_fails_at_once_if_that_is_the_second_crash, fixture)
+{
+    list(0, {}, {}, 2);
+    job_offer offer = lasting_offer("j", 1);
+    offer.losses = {{0, 0, entry(0).id, 1, loss_cause::disconnected, true},
+                    {0, 0, worker_id("x"), 5, loss_cause::crash}};
+    offer_job(offer);
+    BOOST_TEST(has_failed());
+    BOOST_TEST(starts.empty());
+}
+
+// Guards against a cut that the new holder takes for a crash.
+BOOST_FIXTURE_TEST_CASE(the_same_process_has_survived, fixture)
+{
+    job_offer offer = lasting_offer("j", 1);
+    offer.losses = {{0, 0, entry(0).id, 1, loss_cause::disconnected}};
+    fail_list(entry(0).id, list_failure::connection_refused);
+    offer_job(offer);
+    list(0);
+    BOOST_REQUIRE_EQUAL(losses.size(), 1U);
+    BOOST_TEST((losses[0].losses[0].cause == loss_cause::survived));
+}
+
 // Guards against crashes of two tasks that are added up, and one crash that two instances have reported.
 BOOST_FIXTURE_TEST_CASE(each_counts_once_and_for_its_task, fixture)
 {
@@ -425,7 +580,7 @@
     collect_actions();
     // Two crashes beside others may be a coincidence.
     BOOST_TEST(!has_failed());
-    get().on_losses(now(), job_id("j"), {{0, 1, worker_id("y"), 6, loss_cause::crash_alone}});
+    get().on_losses(now(), job_id("j"), {{0, 1, worker_id("y"), 6, loss_cause::crash, true}});
     collect_actions();
     BOOST_TEST(has_failed());
 }
--- a/tests/workers/owners_test.cpp
+++ b/tests/workers/owners_test.cpp
@@ -191,7 +191,7 @@
 BOOST_AUTO_TEST_CASE(a_hand_over_ends_the_wait_as_unknown)
 {
     two_owners f;
-    f.pool.get().hand_over();
+    f.pool.get().hand_over(f.pool.now());
     f.pool.collect_actions();
     BOOST_TEST((f.pool.result_receivers.back() == second_owner));
     BOOST_TEST((f.pool.results.back().end == job_end::gave_up));
--- a/tests/workers/takeover_test.cpp
+++ b/tests/workers/takeover_test.cpp
@@ -231,7 +231,7 @@
     world.list(0);
     world.offer_job(pool_fixture::offer("j", 3));
     world.offer_job(pool_fixture::offer("k", 1));
-    world.get().hand_over();
+    world.get().hand_over(world.now());
     world.collect_actions();
     BOOST_REQUIRE_EQUAL(world.results.size(), 2U);
     for (const job_result& result : world.results) {
@@ -258,7 +258,7 @@
     world.get().on_listing(
         world.now(),
         {pool_fixture::entry(0).id, 1, 5000, {}, {{1, {job_id("j"), 0, 0}, run_number(5), run_end::done}}});
-    world.get().hand_over();
+    world.get().hand_over(world.now());
     world.collect_actions();
     BOOST_REQUIRE_EQUAL(world.progress.size(), 1U);
     BOOST_TEST((world.progress[0].done_tasks == std::vector<std::uint32_t>{0}));
--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -57,7 +57,7 @@
         once([failed, cause](workers::pool& pool) { failed(pool, cause); });
     };
     after(timeout, [fail] { fail(list_failure::unanswered); });
-    worker.connections.emplace_back([fail] { fail(list_failure::lost); });
+    worker.connections.emplace_back([fail] { fail(list_failure::connection_lost); });
     if (late || is_duplicated) {
         const milliseconds command_delay =
             min_command_delay +
@@ -75,7 +75,7 @@
             if (reaches() && !refused) {
                 at_worker(answer);
             } else if (refused) {
-                after(one_way, [fail] { fail(list_failure::gone); });
+                after(one_way, [fail] { fail(list_failure::connection_refused); });
             }
         });
     }
@@ -202,7 +202,9 @@
             answer([reply, reached, clock](workers::pool& pool) { reply(pool, reached, clock); });
         },
         [reply](workers::pool& pool, list_failure cause) {
-            reply(pool, cause == list_failure::gone ? start_outcome::unreachable : start_outcome::unanswered,
+            reply(pool,
+                  cause == list_failure::connection_refused ? start_outcome::unreachable
+                                                            : start_outcome::unanswered,
                   std::nullopt);
         });
 }
