workers: a restart after a silence is no crash; losses are excused job by job

What callers saw: jobs that were answered as failed although their tasks had crashed no worker.

The class is that of: a coincidence that counts as a proof.

A crash is now proved only for a worker that was reachable until then or closed its connections as it fell silent; another process after a silence leaves the loss as unknown, which counts, as before, toward three. Losses are excused for a job if two workers or more that did not run it were lost at the same time. That is within 300 ms for silences, and 50 ms where connections end, which shows at once: tasks that crash workers 60 ms apart are not excused any more. A task that was excused is started five times at most.

--- a/source/common/signal_thread.cpp
+++ b/source/common/signal_thread.cpp
@@ -11,7 +11,7 @@
 signal_thread::~signal_thread()
 {
     m_stopping = true;
-    pthread_kill(m_thread.native_handle(), SIGTERM);
+    pthread_kill(m_thread.native_handle(), SIGINT);
     m_thread.join();
 }
 
--- a/source/common/signal_thread.h
+++ b/source/common/signal_thread.h
@@ -8,7 +8,7 @@
 namespace poplarshed {
 
 /// Hands the signals of a set to a callback, on a thread of its own, until it is destroyed. The set must be
-/// blocked in every thread of the process, and contain SIGTERM, which wakes the thread at its end.
+/// blocked in every thread of the process, and contain SIGINT, which wakes the thread at its end.
 class signal_thread {
 public:
     /// @param on_signal called with the signal's number
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -90,6 +90,7 @@
         std::uint32_t crashes = 0;        ///< workers that have crashed under the task
         bool crashed_alone = false;       ///< one of them while the task ran alone on it
         std::uint32_t silent_losses = 0;  ///< workers that may have crashed, or may be cut off
+        std::uint32_t common_losses = 0;  ///< workers that were lost together with several others
         bool suspected = false;           ///< of crashing its workers
         time_point retry_at;              ///< not started before, unless a silence is explained
     };
@@ -143,7 +144,7 @@
         bool disconnected = false;    ///< connections are refused or closed, as after most crashes
         bool other_cause = false;     ///< another task is known to crash its workers
         bool alone = false;           ///< a suspected task ran alone on it
-        bool common = false;          ///< several workers were lost at once, which one task does not cause
+        std::set<job_id> excused;     ///< jobs that did not cause it, since others were lost at the same time
         std::vector<task_ref> tasks;  ///< the one that was started last first
     };
 
@@ -180,11 +181,12 @@
         std::uint64_t acknowledged = 0;
         std::map<task_ref, run_record> runs;
         std::map<task_ref, abandoned_run> abandoned;  ///< may be executed late
-        bool disconnected = false;         ///< connections were lost since the last list that was answered
-        bool disconnect_reported = false;  ///< the tasks that it ran are known to all instances
-        bool replaced = false;             ///< its process is known to have ended
-        time_point silent_since;           ///< last time that it became unreachable or restarted
-        bool silent_alone = false;         ///< a suspected task ran on it at that time
+        bool disconnect_reported = false;             ///< the tasks that it ran are known to all instances
+        bool replaced = false;                        ///< its process is known to have ended
+        time_point silent_since;                      ///< last time that it became unreachable or restarted
+        bool silent_by_disconnect = false;            ///< connections were refused or closed at that time
+        std::set<job_id> silent_jobs;                 ///< ran on it at that time
+        bool silent_alone = false;                    ///< a suspected task ran on it at that time
         std::optional<std::uint64_t> leaving_incarnation;  ///< the last one that announced its end
         resources used;
         speed_estimate speed;
@@ -285,9 +287,11 @@
     /// Part of the objective that is needed to send the start and to receive the end of a task.
     milliseconds reporting_time() const;
     // Tasks that crash their workers
-    /// Workers that fall silent within this time of each other may have a common cause, as fast as lists are
-    /// sent.
-    static constexpr milliseconds common_loss_window{300};
+    /// Workers that fall silent within this time of each other may have a common cause: each is noticed when
+    /// its list is due.
+    static constexpr milliseconds common_silence_window{300};
+    /// The same for workers that close their connections, which is noticed within a few milliseconds.
+    static constexpr milliseconds common_disconnect_window{50};
     /// The incarnation of a worker that was heard last.
     static std::uint64_t incarnation_of(const worker_record& worker);
     /// True if the worker's present incarnation has announced that it leaves.
@@ -297,7 +301,9 @@
     /// Sorts tasks that run on a worker, the one that was started last first.
     static void sort_by_start(const worker_record& worker, std::vector<task_ref>& tasks);
     /// Notes when a worker that was reachable so far was lost.
-    static void note_silence(time_point now, worker_record& worker);
+    static void note_silence(time_point now, worker_record& worker, bool disconnected);
+    /// True if the worker was reachable until its process ended, or closed its connections then.
+    static bool ended_suddenly(const worker_record& worker);
     /// Notes that runs were lost with a worker, or may be.
     /// @param crashed its process is known to have ended
     worker_loss& note_loss(time_point now, const worker_record& worker, const std::vector<task_ref>& tasks,
@@ -309,8 +315,13 @@
     /// Notes that runs have ended with a worker.
     /// @param crashed its process is known to have ended
     void add_loss(time_point now, worker_record& worker, const std::vector<task_ref>& tasks, bool crashed);
-    /// True if several workers fell silent at the same time, which no task causes.
-    bool is_lost_with_others(const worker_record& worker) const;
+    /// True if several workers that did not run the job fell silent at the same time, which it does not
+    /// cause.
+    bool is_lost_with_others(const worker_record& worker, const job_id& job) const;
+    /// Cause of a loss, now that the worker, or another at its address, has answered.
+    /// @param present its incarnation; nothing if its process has ended
+    static loss_cause explained_cause(const worker_record& worker, std::uint64_t incarnation,
+                                      std::optional<std::uint64_t> present, loss_cause known);
     /// Tells crashes from cuts when a silent worker is heard of again.
     /// @param present its incarnation; nothing if its process has ended
     void explain_silence(time_point now, const worker_record& worker, std::optional<std::uint64_t> present);
@@ -323,8 +334,6 @@
     void explain_by_directory(job_record& job);
     /// Tells all instances, and the job if it is here, of a loss or of its cause.
     void report_loss(const worker_loss& loss, const std::vector<task_ref>& tasks, loss_cause cause);
-    /// True if the job had tasks on several workers that were lost at once.
-    bool lost_several(const job_id& id) const;
     /// Updates what is known of the tasks' jobs, and ends those that crash workers.
     void on_losses_changed(time_point now, const std::vector<task_ref>& tasks);
     /// Number of the task in the job; nothing if the job has no such task.
--- a/source/workers/pool_crashes.cpp
+++ b/source/workers/pool_crashes.cpp
@@ -10,6 +10,9 @@
 constexpr std::uint32_t max_crashes = 2;
 // The same with silent workers counted. One more, since a cut looks the same.
 constexpr std::uint32_t max_losses = max_crashes + 1;
+// The same with workers counted that were lost together with others. The users' rule allows two more starts
+// after three crashes.
+constexpr std::uint32_t max_lost_starts = 5;
 // A crashed worker is back after some seconds, or its entry lapses after three heartbeats of 1.5 s.
 constexpr milliseconds explanation_time{5000};
 // Workers of a rack or behind a cut become silent together.
@@ -70,36 +73,55 @@
                milliseconds(static_cast<std::int64_t>(ended.size())));
     }
     m_crashed_by_suspects.erase(worker.entry.id);
-    note_silence(now, worker);
+    const bool crashed = !planned && ended_suddenly(worker);
+    note_silence(now, worker, true);
     explain_silence(now, worker, std::nullopt);
     explain_reported(now, worker, std::nullopt);
     sort_by_start(worker, ended);
     for (const task_ref& ref : ended) {
-        end_run(now, worker, ref, planned ? run_end::lapsed : run_end::crashed);
+        end_run(now, worker, ref, crashed ? run_end::crashed : run_end::lapsed);
     }
-    add_loss(now, worker, ended, true);
+    add_loss(now, worker, ended, crashed);
     worker.listed = false;
 }
 
-void pool::note_silence(time_point now, worker_record& worker)
+bool pool::ended_suddenly(const worker_record& worker)
+{
+    return !worker.unreachable || worker.silent_by_disconnect;
+}
+
+void pool::note_silence(time_point now, worker_record& worker, bool disconnected)
 {
     if (worker.unreachable) {
         return;
     }
     worker.silent_since = now;
+    worker.silent_by_disconnect = disconnected;
     worker.disconnect_reported = false;
+    worker.silent_jobs.clear();
+    for (const auto& [ref, run] : worker.runs) {
+        worker.silent_jobs.insert(ref.job);
+    }
     worker.silent_alone = std::any_of(worker.runs.begin(), worker.runs.end(),
                                       [](const auto& entry) { return entry.second.isolated; });
 }
 
-bool pool::is_lost_with_others(const worker_record& worker) const
+bool pool::is_lost_with_others(const worker_record& worker, const job_id& job) const
 {
-    const auto near = std::count_if(m_workers.begin(), m_workers.end(), [&worker](const auto& entry) {
-        const duration apart = entry.second.silent_since - worker.silent_since;
-        // Suspected tasks crash their workers at the same time now and then.
-        return std::max(apart, -apart) <= common_loss_window && !entry.second.silent_alone;
-    });
-    return worker.silent_since != time_point{} && static_cast<std::size_t>(near) >= workers_lost_together;
+    if (worker.silent_since == time_point{}) {
+        return false;
+    }
+    // Suspected tasks crash their workers at the same time now and then.
+    std::size_t near = worker.silent_alone ? 0 : 1;
+    for (const auto& [id, other] : m_workers) {
+        const duration apart = other.silent_since - worker.silent_since;
+        const milliseconds window = worker.silent_by_disconnect && other.silent_by_disconnect
+                                        ? common_disconnect_window
+                                        : common_silence_window;
+        const bool counts = &other != &worker && !other.silent_alone && !other.silent_jobs.contains(job);
+        near += counts && std::max(apart, -apart) <= window ? 1 : 0;
+    }
+    return near >= workers_lost_together;
 }
 
 pool::worker_loss& pool::note_loss(time_point now, const worker_record& worker,
@@ -110,13 +132,15 @@
         return known.worker == worker.entry.id && known.incarnation == incarnation;
     });
     if (loss == m_losses.end()) {
-        m_losses.push_back({worker.entry.id, incarnation, now, false, false, false, false, false, {}});
+        m_losses.push_back({worker.entry.id, incarnation, now, false, false, false, false, {}, {}});
         loss = std::prev(m_losses.end());
     }
     loss->crashed = loss->crashed || crashed;
-    loss->disconnected = loss->disconnected || worker.disconnected;
-    loss->common = loss->common || is_lost_with_others(worker);
+    loss->disconnected = loss->disconnected || worker.silent_by_disconnect;
     for (const task_ref& ref : tasks) {
+        if (is_lost_with_others(worker, ref.job)) {
+            loss->excused.insert(ref.job);
+        }
         if (std::find(loss->tasks.begin(), loss->tasks.end(), ref) == loss->tasks.end()) {
             loss->tasks.push_back(ref);
         }
@@ -140,13 +164,20 @@
     }
     const worker_loss& loss = note_loss(now, worker, tasks, crashed);
     report_loss(loss, tasks, cause_of(loss));
+    for (const task_ref& ref : tasks) {
+        job_record* job = find_job(ref.job);
+        const auto number = job == nullptr ? std::nullopt : find_task(*job, ref.step, ref.index);
+        if (number && loss.excused.contains(ref.job)) {
+            ++job->tasks[*number].common_losses;
+        }
+    }
     on_losses_changed(now, tasks);
 }
 
 void pool::report_disconnected(time_point now, worker_record& worker)
 {
-    if (!worker.unreachable || !worker.disconnected || worker.disconnect_reported || worker.runs.empty() ||
-        has_announced_end(worker)) {
+    if (!worker.unreachable || !worker.silent_by_disconnect || worker.disconnect_reported ||
+        worker.runs.empty() || has_announced_end(worker)) {
         return;
     }
     worker.disconnect_reported = true;
@@ -160,6 +191,17 @@
     on_losses_changed(now, tasks);
 }
 
+loss_cause pool::explained_cause(const worker_record& worker, std::uint64_t incarnation,
+                                 std::optional<std::uint64_t> present, loss_cause known)
+{
+    const bool left = worker.entry.draining || worker.leaving_incarnation == incarnation;
+    if (present == incarnation || incarnation == 0 || left) {
+        return loss_cause::survived;
+    }
+    // A worker that fell silent first, as behind a cut, may have ended for any reason later.
+    return known == loss_cause::unknown ? loss_cause::unknown : loss_cause::crash;
+}
+
 void pool::explain_silence(time_point now, const worker_record& worker, std::optional<std::uint64_t> present)
 {
     std::vector<task_ref> explained;
@@ -167,10 +209,13 @@
         if (loss.worker != worker.entry.id || loss.crashed) {
             continue;
         }
+        const loss_cause cause = explained_cause(worker, loss.incarnation, present, cause_of(loss));
+        if (cause == loss_cause::unknown) {
+            continue;
+        }
         explained.insert(explained.end(), loss.tasks.begin(), loss.tasks.end());
-        const bool left = worker.entry.draining || worker.leaving_incarnation == loss.incarnation;
-        loss.crashed = loss.incarnation != present && loss.incarnation != 0 && !left;
-        report_loss(loss, loss.tasks, loss.crashed ? loss_cause::crash : loss_cause::survived);
+        report_loss(loss, loss.tasks, cause);
+        loss.crashed = cause == loss_cause::crash;
         if (!loss.crashed) {
             loss.tasks.clear();
         }
@@ -202,10 +247,11 @@
         if (!open || row.worker != worker.entry.id || row.incarnation == 0) {
             continue;
         }
-        const bool left = worker.entry.draining || worker.leaving_incarnation == row.incarnation;
-        explained.push_back(row);
-        explained.back().cause =
-            present != row.incarnation && !left ? loss_cause::crash : loss_cause::survived;
+        const loss_cause cause = explained_cause(worker, row.incarnation, present, row.cause);
+        if (cause != loss_cause::unknown) {
+            explained.push_back(row);
+            explained.back().cause = cause;
+        }
     }
     if (explained.empty()) {
         return false;
@@ -218,7 +264,7 @@
 void pool::report_loss(const worker_loss& loss, const std::vector<task_ref>& tasks, loss_cause cause)
 {
     for (const task_ref& ref : tasks) {
-        if (loss.common && !lost_several(ref.job)) {
+        if (loss.excused.contains(ref.job)) {
             continue;
         }
         const std::vector<task_loss> losses{
@@ -230,16 +276,6 @@
     }
 }
 
-// A job of which several tasks crash their workers at the same time looks like a failure of a rack.
-bool pool::lost_several(const job_id& id) const
-{
-    const auto count = std::count_if(m_losses.begin(), m_losses.end(), [&id](const worker_loss& loss) {
-        return loss.common && std::any_of(loss.tasks.begin(), loss.tasks.end(),
-                                          [&id](const task_ref& ref) { return ref.job == id; });
-    });
-    return static_cast<std::size_t>(count) >= workers_lost_together;
-}
-
 void pool::on_losses_changed(time_point now, const std::vector<task_ref>& tasks)
 {
     for (const task_ref& ref : tasks) {
@@ -348,9 +384,11 @@
     }
     const job_record& job = *held;
     const auto found = std::find_if(job.tasks.begin(), job.tasks.end(), [](const task_record& task) {
+        const std::uint32_t losses = task.crashes + task.silent_losses;
         return task.state != task_state::done &&
                (is_guilty(task.crashes, task.crashed_alone) ||
-                (task.state == task_state::waiting && task.crashes + task.silent_losses >= max_losses));
+                (task.state == task_state::waiting &&
+                 (losses >= max_losses || losses + task.common_losses >= max_lost_starts)));
     });
     if (found == job.tasks.end()) {
         return;
@@ -430,7 +468,8 @@
 bool pool::is_first_suspect(time_point now, const task_ref& ref) const
 {
     return std::all_of(m_losses.begin(), m_losses.end(), [&](const worker_loss& loss) {
-        const bool may_be_caused = (loss.crashed || loss.disconnected) && !loss.other_cause && !loss.common;
+        const bool may_be_caused =
+            (loss.crashed || loss.disconnected) && !loss.other_cause && !loss.excused.contains(ref.job);
         if (!may_be_caused || std::find(loss.tasks.begin(), loss.tasks.end(), ref) == loss.tasks.end()) {
             return true;
         }
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -262,7 +262,6 @@
     const bool list_state_lost =
         worker.unreachable || !worker.listed || answer.incarnation != worker.incarnation;
     worker.list_pending = false;
-    worker.disconnected = false;
     worker.replaced = false;
     worker.answered_list_sent = worker.list_sent;
     worker.unanswered_lists = 0;
@@ -272,17 +271,18 @@
         record(decision::worker_back, {}, answer.worker, {}, elapsed(now, worker.list_sent));
     }
     const bool restarted = worker.incarnation != 0 && answer.incarnation != worker.incarnation;
-    const bool crashed = restarted && !has_announced_end(worker);
+    const bool unannounced = restarted && !has_announced_end(worker);
+    const bool crashed = unannounced && (!was_unreachable || worker.silent_by_disconnect);
     if (restarted) {
         // The new incarnation numbers its ends from the beginning. A start in transit may run in it, so runs
         // are still compared with the list as usual.
-        record(crashed ? decision::worker_crashed : decision::worker_lapsed, {}, answer.worker, "restarted",
-               milliseconds(static_cast<std::int64_t>(worker.runs.size())));
+        record(unannounced ? decision::worker_crashed : decision::worker_lapsed, {}, answer.worker,
+               "restarted", milliseconds(static_cast<std::int64_t>(worker.runs.size())));
         worker.acknowledged = 0;
         on_worker_restart(now, worker);
     }
     if (crashed && !was_unreachable) {
-        note_silence(now, worker);
+        note_silence(now, worker, true);
     }
     explain_silence(now, worker, answer.incarnation);
     if (list_state_lost && answer.incarnation != 0) {
@@ -343,14 +343,14 @@
     for (const task_ref& ref : missing) {
         end_run(now, worker, ref, crashed ? run_end::crashed : run_end::lapsed);
     }
-    if (crashed) {
+    if (unannounced) {
         // Starts that got no answer may have been what the former process ran last.
         for (const auto& [ref, run] : worker.runs) {
             if (!run.first_list_with_run && run.sent <= worker.list_sent && !present.contains(ref)) {
                 missing.push_back(ref);
             }
         }
-        add_loss(now, worker, missing, true);
+        add_loss(now, worker, missing, crashed);
     }
     worker.incarnation = answer.incarnation;
     if (!worker.runs.empty() || worker.ends_pending) {
@@ -382,7 +382,6 @@
     // Some cuts refuse connections, too, so that runs count as ended only when their leases have expired.
     const bool disconnected =
         cause == list_failure::connection_refused || cause == list_failure::connection_lost;
-    worker.disconnected = worker.disconnected || disconnected;
     const bool isolates = std::any_of(worker.runs.begin(), worker.runs.end(),
                                       [](const auto& entry) { return entry.second.isolated; });
     if (disconnected && isolates) {
@@ -393,7 +392,7 @@
                            worker.last_answer_at > worker.list_sent &&
                            worker.unanswered_lists <= max_immediate_lists;
     if (!worker.unreachable && !reachable) {
-        note_silence(now, worker);
+        note_silence(now, worker, disconnected);
         worker.unreachable = true;
         record(decision::worker_silent, {}, id, std::string(to_string(cause)), elapsed(now, worker.list_sent),
                elapsed(worker.leases_expire_at, now));
@@ -416,7 +415,7 @@
            milliseconds(static_cast<std::int64_t>(expired.size())));
     // The directory may know of the next incarnation before the worker answers.
     const bool crashed = worker.incarnation != 0 && worker.entry.incarnation > worker.incarnation &&
-                         !has_announced_end(worker);
+                         !has_announced_end(worker) && ended_suddenly(worker);
     sort_by_start(worker, expired);
     for (const task_ref& ref : expired) {
         end_run(now, worker, ref, crashed ? run_end::crashed : run_end::lapsed);
@@ -619,7 +618,7 @@
         check_runs(now, worker);
         std::erase_if(worker.abandoned,
                       [now](const auto& entry) { return now > entry.second.at + max_command_delay; });
-        if (now >= worker.silent_since + common_loss_window) {
+        if (now >= worker.silent_since + common_disconnect_window) {
             report_disconnected(now, worker);
         }
         if (worker.unreachable || !worker.listed) {
