soak: capacities shrink and grow, on workers that guard them and on workers that do not

LIMIT was proved for one pool in virtual time only. In every run one worker after the other has room for two tasks, one, none, and two again. Workers of odd seeds do not guard their capacity; a start that brings one over the greatest capacity of the last 4.5 s (contact and a heartbeat) is a broken promise. The changes draw from a source of their own, so that the faults of a seed stay as they were.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -110,6 +110,7 @@
       m_workers(io, m_store, places(options), options.seed),
       m_network(io)
 {
+    m_workers.set_guards_capacity(options.seed % 2 == 0);
     configure(1);
     for (std::size_t i = 0; i < options.instances; ++i) {
         instance& one = m_instances.emplace_back();
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -63,6 +63,7 @@
     // Workers
     net::awaitable<void> worker_crash();
     net::awaitable<void> worker_leaves();
+    net::awaitable<void> change_capacities();
     net::awaitable<void> workers_silent();
     net::awaitable<void> workers_slow();
     net::awaitable<void> workers_fail();
@@ -85,9 +86,11 @@
     promises& m_checks;
     plan_kind m_kind;
     random_source m_random;
+    random_source m_capacity_random;
     std::size_t m_in_progress = 0;
     bool m_stopping = false;
     bool m_store_faulty = false;
+    bool m_capacities_change = false;
 };
 
 }  // namespace poplarshed::soak
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -38,6 +38,7 @@
     milliseconds config{2000};     ///< a configuration is in force
     milliseconds grace{6000};      ///< from the stop signal to the end of the process
     milliseconds loss_slack{200};  ///< of a connection that a stopping instance closes
+    bool calm_crashes = false;     ///< whether the target for tasks that crash their workers is checked
 };
 
 /// Compares what callers and workers see with what is promised.
@@ -90,6 +91,7 @@
     std::unordered_map<std::string, job_record> m_jobs;
     std::size_t m_seen_starts = 0;
     std::size_t m_seen_overlaps = 0;
+    std::size_t m_seen_overloads = 0;
     int m_active_faults = 0;
     clock::time_point m_calm_since = clock::now();
     std::map<std::size_t, clock::time_point> m_leaving_workers;
--- a/tests/stand_ins/leased_workers.h
+++ b/tests/stand_ins/leased_workers.h
@@ -38,6 +38,14 @@
     bool late = false;  ///< carried out after the caller had given the call up
 };
 
+/// A start that brought a worker over its capacity.
+struct overload {
+    std::string task;
+    std::size_t worker = 0;
+    std::int64_t cpu = 0;    ///< of all runs, in thousandths of a core
+    std::int64_t limit = 0;  ///< the capacity, or a greater one that it has had lately
+};
+
 /// Workers that run tasks under leases and are listed in the store. A task runs for as many milliseconds as
 /// the job's spec says. Runs on the thread of the io_context.
 class leased_workers {
@@ -56,6 +64,10 @@
     /// Workers that a task has crashed.
     std::size_t crashes_under(const std::string& task) const;
     void set_draining(std::size_t index, bool draining);
+    /// Changes the capacity that the worker tells the store, in thousandths of a core.
+    void set_capacity(std::size_t index, std::int64_t cpu);
+    /// Whether workers reject starts beyond their capacity; otherwise they carry them out.
+    void set_guards_capacity(bool guards) { m_guards_capacity = guards; }
     /// Takes the worker's entry out of the store, or puts it back.
     void set_listed(std::size_t index, bool listed);
     /// Ends runs that are done or have lapsed. To be called every few milliseconds.
@@ -66,6 +78,8 @@
     const std::vector<observed_start>& starts() const { return m_starts; }
     /// Tasks that had two runs at work at one time.
     const std::vector<std::string>& overlaps() const { return m_overlaps; }
+    /// Starts beyond the capacity of workers that do not guard it.
+    const std::vector<overload>& overloads() const { return m_overloads; }
     bool has_completed(const std::string& task) const { return m_completed.contains(task); }
 
 private:
@@ -81,6 +95,9 @@
         std::unique_ptr<wake_list> ended;
         worker_faults faults;
         bool draining = false;
+        std::int64_t cpu = 0;  ///< capacity
+        /// Former capacities, and when they were replaced.
+        std::vector<std::pair<net::steady_timer::time_point, std::int64_t>> former_cpu;
         std::optional<net::steady_timer::time_point> back_at;  ///< while it is down
         std::uint64_t born = 0;
         std::uint64_t token = 0;
@@ -95,6 +112,8 @@
     net::awaitable<void> start_late(std::size_t index, json body);
     net::awaitable<http_response> list(std::size_t index, json body);
     http_response start(std::size_t index, const json& body, bool late);
+    /// The greatest capacity that callers may count on.
+    static std::int64_t known_capacity(const worker& on);
     http_response stop(worker& on, const json& body);
     http_response conflict(const worker& on, const char* reason) const;
     void extend_lease(worker& on, std::int64_t expires_ms);
@@ -109,6 +128,8 @@
     std::deque<worker> m_workers;
     std::vector<observed_start> m_starts;
     std::vector<std::string> m_overlaps;
+    std::vector<overload> m_overloads;
+    bool m_guards_capacity = true;
     std::map<std::string, std::size_t> m_completed;  ///< ends `done` by task
     std::map<std::string, std::size_t> m_crashes;    ///< by task
     std::uint64_t m_last_beat = 0;
