--- a/tests/stand_ins/leased_workers.cpp
+++ b/tests/stand_ins/leased_workers.cpp
@@ -273,6 +273,7 @@
     const std::uint64_t born = m_workers.at(index).born;
     co_await sleep_for(
         m_io, least_lateness + milliseconds(static_cast<std::int64_t>(m_random.below(lateness_range_ms))));
+    advance();
     const worker& on = m_workers.at(index);
     if (on.born == born && body.value("fencing_token", std::uint64_t{0}) >= on.token) {
         start(index, body, true);
@@ -319,6 +320,8 @@
     const json body = json::parse(request.body());
     const std::string target(request.target());
     const std::string path(path_of(target));
+    // What is due has ended, even if this process was held up.
+    advance();
     worker& on = m_workers.at(index);
     if (on.back_at) {
         co_return std::nullopt;
