--- /dev/null
+++ b/review/stand_ins_2/cases.cpp
@@ -0,0 +1,94 @@
+#include "cases.h"
+
+#include <csignal>
+
+namespace review {
+
+namespace {
+
+constexpr milliseconds case_limit{100'000};
+
+layout small_deployment(std::size_t instances, std::size_t runner_count)
+{
+    layout wanted;
+    wanted.instances = instances;
+    wanted.workers.assign(runner_count, {});
+    return wanted;
+}
+
+net::awaitable<void> play_cancel(deployment& world)
+{
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start_instance(i);
+    }
+    co_await world.wait_ready();
+    step work;
+    work.count = 4;
+    work.need = {2000, 256, 0};
+    work.estimate_ms = 7000;
+    work.work_ms = 7000;
+    const std::string id = world.add_job({work}).id;
+    net::co_spawn(world.io(), [&world, id]() -> net::awaitable<void> {
+        co_await world.submit(0, id, milliseconds(20'000));
+    }, net::detached);
+    co_await world.wait_until("the job's tasks run", [&] { return world.workers().running(id).size() == 4; },
+                              milliseconds(5000));
+    co_await world.wait(milliseconds(500));
+    co_await world.cancel(with_trouble() ? 1 : 0, id);
+    co_await world.wait(milliseconds(8000));
+}
+
+net::awaitable<void> play_drain(deployment& world)
+{
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start_instance(i);
+    }
+    co_await world.wait_ready();
+    step work;
+    work.count = 2;
+    work.need = {2000, 256, 0};
+    work.estimate_ms = 4500;
+    work.work_ms = 4500;
+    const std::string first = world.add_job({work}).id;
+    const std::string second = world.add_job({work}).id;
+    connection open(world.io(), world.at(0).front());
+    if (!co_await open.open()) {
+        throw cannot_run("no connection");
+    }
+    // The connection is in use before the signal, as a client's is.
+    co_await open.call(http::verb::get, deployment::prefix(), "", milliseconds(2000));
+    net::co_spawn(world.io(), [&world, first]() -> net::awaitable<void> {
+        co_await world.submit(0, first, milliseconds(20'000));
+    }, net::detached);
+    co_await world.wait_until("the first job's tasks run", [&] { return !world.workers().running(first).empty(); },
+                              milliseconds(5000));
+    if (with_trouble()) {
+        world.at(0).signal(SIGTERM);
+        world.log().line("SIGTERM to " + world.at(0).name());
+    }
+    co_await world.wait(milliseconds(3300));
+    const auto sent = clock::now();
+    const answer got = co_await world.submit_on(open, 0, second, milliseconds(20'000));
+    const auto lasted = std::chrono::duration_cast<milliseconds>(clock::now() - sent);
+    world.log().line("starts of the second job's tasks: " + std::to_string(world.workers().starts_of(second)));
+    if (got.status == 0 && lasted > milliseconds(200)) {
+        world.log().broken("LOST", "job " + second + ", sent 3.3 s after the SIGTERM, got no answer: " + got.error);
+    }
+    co_await world.wait(milliseconds(1000));
+}
+
+}  // namespace
+
+int cancel_case(const std::string& record_path)
+{
+    deployment world(record_path, small_deployment(2, 4));
+    return world.play(play_cancel, case_limit);
+}
+
+int drain_case(const std::string& record_path)
+{
+    deployment world(record_path, small_deployment(2, 4));
+    return world.play(play_drain, case_limit);
+}
+
+}  // namespace review
