--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -38,6 +38,36 @@
     co_await world.wait(milliseconds(8000));
 }
 
+// The client follows PROTOCOL.md: after a 504 the job is sent again retransmit_ms later, to any node.
+net::awaitable<void> play_resend(deployment& world)
+{
+    constexpr milliseconds retransmit{1300};
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start_instance(i);
+    }
+    co_await world.wait_ready();
+    step work;
+    work.count = 4;
+    work.need = {2000, 256, 0};
+    work.estimate_ms = 5000;
+    work.work_ms = 5000;
+    const std::string id = world.add_job({work}).id;
+    net::co_spawn(world.io(), [&world, id, retransmit]() -> net::awaitable<void> {
+        const answer got = co_await world.submit(0, id, milliseconds(20'000));
+        if (got.status == 0 || got.status == 502 || got.status == 504) {
+            co_await world.wait(retransmit);
+            co_await world.submit(0, id, milliseconds(20'000));
+        }
+    }, net::detached);
+    co_await world.wait_until("the job's tasks run", [&] { return world.workers().running(id).size() == 4; },
+                              milliseconds(5000));
+    co_await world.wait(milliseconds(500));
+    if (with_trouble()) {
+        co_await world.cancel(0, id);
+    }
+    co_await world.wait(milliseconds(8000));
+}
+
 net::awaitable<void> play_drain(deployment& world)
 {
     for (std::size_t i = 0; i < world.size(); ++i) {
@@ -55,8 +85,10 @@
     if (!co_await open.open()) {
         throw cannot_run("no connection");
     }
-    // The connection is in use before the signal, as a client's is.
-    co_await open.call(http::verb::get, deployment::prefix(), "", milliseconds(2000));
+    // The connection is in use before the signal, as a client's is, and the answer keeps it open.
+    const answer before = co_await open.call(http::verb::get, deployment::prefix(), "", milliseconds(2000));
+    world.log().line("the connection's first answer: " + std::to_string(before.status) + ", connection " +
+                     before.connection);
     net::co_spawn(world.io(), [&world, first]() -> net::awaitable<void> {
         co_await world.submit(0, first, milliseconds(20'000));
     }, net::detached);
@@ -85,6 +117,12 @@
     return world.play(play_cancel, case_limit);
 }
 
+int resend_case(const std::string& record_path)
+{
+    deployment world(record_path, small_deployment(2, 4));
+    return world.play(play_resend, case_limit);
+}
+
 int drain_case(const std::string& record_path)
 {
     deployment world(record_path, small_deployment(2, 4));
--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -469,6 +469,7 @@
     http_request request(method, target, 11);
     request.set(http::field::host, "desk.example");
     request.set("Poplarshed-Timeout-Ms", std::to_string(limit.count()));
+    request.set(http::field::connection, "keep-alive");
     if (!body.empty()) {
         request.set(http::field::content_type, "application/json");
         request.body() = std::move(body);
