--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -68,6 +68,37 @@
     co_await world.wait(milliseconds(8000));
 }
 
+// While the store is away, the only runner of kind "b" restarts under its id as one of kind "a".
+net::awaitable<void> play_kind(deployment& world)
+{
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start_instance(i);
+    }
+    co_await world.wait_ready();
+    step work;
+    work.count = 1;
+    work.need = {2000, 256, 0};
+    work.estimate_ms = 200;
+    work.work_ms = 200;
+    work.constraints = "b";
+    const std::string before = world.add_job({work}).id;
+    co_await world.submit(0, before, milliseconds(5000));
+    co_await world.wait(milliseconds(1000));
+    if (with_trouble()) {
+        store_faults away;
+        away.silent = true;
+        world.store().set_faults(away);
+        world.log().line("the store is silent");
+        co_await world.wait(milliseconds(500));
+        world.workers().crash(0, milliseconds(1000), {"a", "r1"});
+        co_await world.wait(milliseconds(1500));
+    }
+    const std::string during = world.add_job({work}).id;
+    co_await world.submit(0, during, milliseconds(3000));
+    world.store().set_faults({});
+    co_await world.wait(milliseconds(1000));
+}
+
 net::awaitable<void> play_drain(deployment& world)
 {
     for (std::size_t i = 0; i < world.size(); ++i) {
@@ -123,6 +154,14 @@
     return world.play(play_resend, case_limit);
 }
 
+int kind_case(const std::string& record_path)
+{
+    layout wanted = small_deployment(2, 4);
+    wanted.workers.at(0).labels = {"b", "r1"};
+    deployment world(record_path, wanted);
+    return world.play(play_kind, case_limit);
+}
+
 int drain_case(const std::string& record_path)
 {
     deployment world(record_path, small_deployment(2, 4));
