review: answers on one connection come out of order (case 10)

Of two requests on one connection the one that ends first is answered first, so that the client takes its answer for the other's. Code path: caller_front::respond.

--- a/review/stand_ins_2/cases.h
+++ b/review/stand_ins_2/cases.h
@@ -11,6 +11,7 @@
 int cancel_case(const std::string& record_path);
 int resend_case(const std::string& record_path);
 int kind_case(const std::string& record_path);
+int pipeline_case(const std::string& record_path);
 int drain_case(const std::string& record_path);
 
 }  // namespace review
--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -464,7 +464,7 @@
     m_socket.close(ignored);
 }
 
-net::awaitable<answer> connection::call(http::verb method, std::string target, std::string body, milliseconds limit)
+net::awaitable<bool> connection::send(http::verb method, std::string target, std::string body, milliseconds limit)
 {
     http_request request(method, target, 11);
     request.set(http::field::host, "desk.example");
@@ -475,6 +475,13 @@
         request.body() = std::move(body);
     }
     request.prepare_payload();
+    boost::system::error_code failed;
+    co_await http::async_write(m_socket, request, net::redirect_error(net::use_awaitable, failed));
+    co_return !failed;
+}
+
+net::awaitable<answer> connection::receive(milliseconds limit)
+{
     answer result;
     auto expired = std::make_shared<bool>(false);
     auto timer = std::make_shared<net::steady_timer>(m_io, limit);
@@ -485,12 +492,8 @@
         }
     });
     boost::system::error_code failed;
-    co_await http::async_write(m_socket, request, net::redirect_error(net::use_awaitable, failed));
-    boost::beast::flat_buffer buffer;
     http_response response;
-    if (!failed) {
-        co_await http::async_read(m_socket, buffer, response, net::redirect_error(net::use_awaitable, failed));
-    }
+    co_await http::async_read(m_socket, m_buffer, response, net::redirect_error(net::use_awaitable, failed));
     timer->cancel();
     if (failed) {
         result.error = *expired ? "no answer within the client's limit" : failed.message();
@@ -503,6 +506,17 @@
     co_return result;
 }
 
+net::awaitable<answer> connection::call(http::verb method, std::string target, std::string body, milliseconds limit)
+{
+    const bool sent = co_await send(method, target, body, limit);
+    answer result;
+    result.error = "the request could not be sent";
+    if (sent) {
+        result = co_await receive(limit);
+    }
+    co_return result;
+}
+
 // Instances
 
 int instance::front_port = 0;
@@ -775,7 +789,9 @@
     connection with(m_io, at(index).front());
     if (!co_await with.open()) {
         m_log.line("job " + id + " at " + at(index).name() + ": no connection");
-        co_return answer{0, "", "no connection", ""};
+        answer none;
+        none.error = "no connection";
+        co_return none;
     }
     co_return co_await submit_on(with, index, id, client_limit);
 }
@@ -785,14 +801,18 @@
 {
     m_log.line("client sends job " + id + " to " + at(index).name());
     const answer got = co_await with.call(http::verb::post, prefix() + id, m_jobs.at(id).body().dump(), client_limit);
-    m_log.line("job " + id + " at " + at(index).name() + " is answered " + std::to_string(got.status) + " " + got.body +
-               got.error);
+    check_answer(id, got);
+    co_return got;
+}
+
+void deployment::check_answer(const std::string& id, const answer& got)
+{
+    m_log.line("job " + id + " is answered " + std::to_string(got.status) + " " + got.body + got.error);
     const job& of = m_jobs.at(id);
     if (got.status == 200 && got.body == R"({"state":"completed"})" && of.done.size() < of.task_count()) {
         m_log.broken("MIXED", "job " + id + " is shown as completed with " + std::to_string(of.done.size()) + " of " +
                                   std::to_string(of.task_count()) + " tasks done");
     }
-    co_return got;
 }
 
 net::awaitable<answer> deployment::cancel(std::size_t index, const std::string& id)
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <fstream>
@@ -156,12 +157,16 @@
     connection(net::io_context& io, const std::string& address);
     net::awaitable<bool> open();
     net::awaitable<answer> call(http::verb method, std::string target, std::string body, milliseconds limit);
+    /// The two halves of call(): requests may be sent before earlier ones are answered.
+    net::awaitable<bool> send(http::verb method, std::string target, std::string body, milliseconds limit);
+    net::awaitable<answer> receive(milliseconds limit);
     void close();
 
 private:
     net::io_context& m_io;
     tcp::endpoint m_address;
     tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
 };
 
 /// An instance of the program, run by the command of deploy/system.toml with settings from its template.
@@ -224,6 +229,8 @@
     /// Sends a job on a new connection, and records the answer.
     net::awaitable<answer> submit(std::size_t at, const std::string& id, milliseconds client_limit);
     net::awaitable<answer> submit_on(connection& with, std::size_t at, const std::string& id, milliseconds client_limit);
+    /// Records the answer to a job, and checks it against what has run.
+    void check_answer(const std::string& id, const answer& got);
     net::awaitable<answer> cancel(std::size_t at, const std::string& id);
     net::awaitable<answer> state(std::size_t at, const std::string& id);
     job& add_job(std::vector<step> steps);
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -10,7 +10,7 @@
     using namespace review;
     static const std::map<std::string, int (*)(const std::string&)> cases{
         {"cancel", cancel_case}, {"resend", resend_case}, {"kind", kind_case},
-        {"drain", drain_case}};
+        {"pipeline", pipeline_case}, {"drain", drain_case}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
         std::cerr << "usage: review-case NAME RECORD\n";
