--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -1,6 +1,5 @@
 #include "cases.h"
 
-
 namespace review {
 
 namespace {
