--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -75,6 +75,40 @@
     co_await world.wait(milliseconds(1000));
 }
 
+// While the store is away, an idle runner that doesn't guard its capacity restarts under its id with less of it.
+net::awaitable<void> play_room(deployment& world)
+{
+    // A room that has shrunk counts contact_ms (3,000) and one beat (1,500) later.
+    constexpr milliseconds room_time{4500};
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start_instance(i);
+    }
+    co_await world.wait_ready();
+    step work;
+    work.count = 1;
+    work.need = {14'000, 256, 0};
+    work.estimate_ms = 200;
+    work.work_ms = 200;
+    work.constraints = "b";
+    const std::string before = world.add_job({work}).id;
+    co_await world.submit(0, before, milliseconds(5000));
+    co_await world.wait(milliseconds(500));
+    if (with_trouble()) {
+        store_faults away;
+        away.silent = true;
+        world.store().set_faults(away);
+        world.log().line("the store is silent");
+        co_await world.wait(milliseconds(50));
+        world.workers().crash(0, milliseconds(300), {}, resources{8000, 65'536, 0});
+        co_await world.wait(milliseconds(320) + room_time + milliseconds(150));
+    }
+    const std::string during = world.add_job({work}).id;
+    co_await world.submit(0, during, milliseconds(400));
+    world.store().set_faults({});
+    world.log().line("the store answers");
+    co_await world.wait(milliseconds(1000));
+}
+
 net::awaitable<void> send_job(deployment& world, connection& with, std::string id, milliseconds limit)
 {
     world.log().line("client sends job " + id);
@@ -194,6 +228,17 @@
     return world.play(play_kind, case_limit);
 }
 
+int room_case(const std::string& record_path)
+{
+    layout wanted = small_deployment(2, 8);
+    wanted.workers.at(0).labels = {"b", "r1"};
+    for (runners::options& one : wanted.workers) {
+        one.enforces_capacity = false;
+    }
+    deployment world(record_path, wanted);
+    return world.play(play_room, case_limit);
+}
+
 int pipeline_case(const std::string& record_path)
 {
     deployment world(record_path, small_deployment(2, 4));
--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -177,7 +177,8 @@
     return std::chrono::duration_cast<milliseconds>(clock::now().time_since_epoch()).count() + on.clock_offset_ms;
 }
 
-void runners::crash(std::size_t index, milliseconds down, std::vector<std::string> labels)
+void runners::crash(std::size_t index, milliseconds down, std::vector<std::string> labels,
+                    std::optional<resources> capacity)
 {
     runner& on = *m_all.at(index);
     m_log.line("runner " + on.id + " crashes with " + std::to_string(on.runs.size()) + " runs");
@@ -192,6 +193,7 @@
     if (!labels.empty()) {
         on.about.labels = std::move(labels);
     }
+    on.about.capacity = capacity.value_or(on.about.capacity);
     on.server->close();
     on.server->drop_connections();
 }
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -88,8 +88,9 @@
     runners(net::io_context& io, leased_store& store, job_table& jobs, record& log);
     std::size_t add(const options& wanted);
     std::size_t size() const { return m_all.size(); }
-    /// Kills the runner and starts it under its id; down for a while, with other labels if any are given.
-    void crash(std::size_t index, milliseconds down, std::vector<std::string> labels = {});
+    /// Kills the runner and starts it under its id; down for a while, with other labels or another capacity if given.
+    void crash(std::size_t index, milliseconds down, std::vector<std::string> labels = {},
+               std::optional<resources> capacity = {});
     void set_draining(std::size_t index);
     /// Orders get no answer and aren't carried out; what runs goes on until its lease ends.
     void set_silent(std::size_t index, bool silent);
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -10,7 +10,8 @@
     static const std::map<std::string, int (*)(const std::string&)> cases{{"pipeline", pipeline_case},
                                                                           {"resend", resend_case},
                                                                           {"dropped-route", dropped_route_case},
-                                                                          {"kind", kind_case}};
+                                                                          {"kind", kind_case},
+                                                                          {"room", room_case}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
         std::cerr << "usage: review-case NAME RECORD\n";
