--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -1,6 +1,7 @@
 #include "deployment.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -567,6 +568,8 @@
     m_end.clear();
     m_pid = fork();
     if (m_pid == 0) {
+        // Ends with the case, however that ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
         dup2(file, 1);
         dup2(file, 2);
