--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the program that plays the scripted cases 6 to 10, with the project's stand-ins that it uses, into target/.
+# Builds the program that plays the scripted cases 7 to 10, with the project's stand-ins that it uses, into target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -109,53 +109,6 @@
     co_await world.wait(milliseconds(1000));
 }
 
-net::awaitable<void> send_job(deployment& world, connection& with, std::string id, milliseconds limit)
-{
-    world.log().line("client sends job " + id);
-    const std::string body = world.jobs().at(id).body().dump();
-    const bool sent = co_await with.send(http::verb::post, deployment::prefix() + id, body, limit);
-    if (!sent) {
-        throw cannot_run("the request could not be sent");
-    }
-}
-
-// Two requests on one connection: answers come in the order of the requests (HTTP/1.1).
-net::awaitable<void> play_pipeline(deployment& world)
-{
-    for (std::size_t i = 0; i < world.size(); ++i) {
-        world.start_instance(i);
-    }
-    co_await world.wait_ready();
-    step work;
-    work.count = 4;
-    work.need = {2000, 256, 0};
-    work.estimate_ms = 3000;
-    work.work_ms = 3000;
-    const std::string first = world.add_job({work}).id;
-    work.estimate_ms = 200;
-    work.work_ms = 200;
-    const std::string second = world.add_job({work}).id;
-    connection open(world.io(), world.at(0).front());
-    const bool connected = co_await open.open();
-    if (!connected) {
-        throw cannot_run("no connection");
-    }
-    constexpr milliseconds limit{20'000};
-    co_await send_job(world, open, first, limit);
-    if (with_trouble()) {
-        co_await world.wait(milliseconds(100));
-        co_await send_job(world, open, second, limit);
-        const answer got = co_await open.receive(limit);
-        world.check_answer(first, got);
-    } else {
-        const answer got = co_await open.receive(limit);
-        world.check_answer(first, got);
-        co_await send_job(world, open, second, limit);
-    }
-    const answer got = co_await open.receive(limit);
-    world.check_answer(second, got);
-}
-
 // A job's queue is dropped by a new configuration; the client goes on trying to cancel the job.
 net::awaitable<void> play_dropped_route(deployment& world)
 {
@@ -239,12 +192,6 @@
     return world.play(play_room, case_limit);
 }
 
-int pipeline_case(const std::string& record_path)
-{
-    deployment world(record_path, small_deployment(2, 4));
-    return world.play(play_pipeline, case_limit);
-}
-
 int dropped_route_case(const std::string& record_path)
 {
     deployment world(record_path, small_deployment(2, 4));
--- a/review/stand_ins_2/cases.h
+++ b/review/stand_ins_2/cases.h
@@ -11,7 +11,6 @@
 int resend_case(const std::string& record_path);
 int kind_case(const std::string& record_path);
 int room_case(const std::string& record_path);
-int pipeline_case(const std::string& record_path);
 int dropped_route_case(const std::string& record_path);
 
 }  // namespace review
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -7,8 +7,7 @@
 int main(int argc, char** argv)
 {
     using namespace review;
-    static const std::map<std::string, int (*)(const std::string&)> cases{{"pipeline", pipeline_case},
-                                                                          {"resend", resend_case},
+    static const std::map<std::string, int (*)(const std::string&)> cases{{"resend", resend_case},
                                                                           {"dropped-route", dropped_route_case},
                                                                           {"kind", kind_case},
                                                                           {"room", room_case}};
