evacuation: send nothing to the workers of an evacuated data centre

Operators write `op/evacuate/ZONE` to the store. Instances read it with the configuration, in one feed for the prefix `op/`, and pass it on with the directory.

From the moment an order is known, the pools of the data centre show no room, jobs that have not started go back to their owners, and owners choose other pools. A job that has started may start its remaining tasks for 500 ms; after that it ends, with an unknown end, if tasks of it still wait. A job that no pool may take is refused at once as not run; a returned job without another pool was answered with an unknown end before, although nothing had run.

Orders are judged by their key. A key without a name is skipped, counted and logged once; other items of the operators are ignored.

--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -160,6 +160,35 @@
     if (changes.instances) {
         update_network();
     }
+    if (changes.evacuations) {
+        apply_evacuations(now);
+    }
+}
+
+void daemon::apply_evacuations(time_point now)
+{
+    const std::set<data_centre_id> previous = std::exchange(m_evacuated, m_directory.evacuated());
+    const auto report = [this](const data_centre_id& data_centre, bool begins) {
+        m_metrics.set(telemetry::data_centre_evacuated, begins ? 1 : 0, data_centre.value());
+        m_log.event({severity::warning,
+                     telemetry::category::configuration,
+                     begins ? "evacuation in force" : "evacuation ended",
+                     {},
+                     {{"data_centre", data_centre.value()},
+                      {"jobs", static_cast<std::int64_t>(m_pools.job_count())}}});
+    };
+    for (const data_centre_id& data_centre : m_evacuated) {
+        if (!previous.contains(data_centre)) {
+            report(data_centre, true);
+        }
+    }
+    for (const data_centre_id& data_centre : previous) {
+        if (!m_evacuated.contains(data_centre)) {
+            report(data_centre, false);
+        }
+    }
+    m_router.set_evacuated(m_evacuated);
+    m_pools.set_evacuated(now, m_evacuated);
 }
 
 void daemon::apply_configuration(std::string_view source)
--- a/source/instance/directory.cpp
+++ b/source/instance/directory.cpp
@@ -18,11 +18,15 @@
 // Reports that wait for the owner, who takes them after each call; a whole list of odd items of the largest
 // site.
 constexpr std::size_t max_skipped = 4096;
+// The key alone is the order.
+constexpr std::string_view evacuation_value = "{}";
 
 }  // namespace
 
 directory::directory(const protocol& protocol, const std::string& node, std::uint64_t first_sequence)
     : m_protocol(protocol),
+      m_operator_prefix(protocol.operator_prefix()),
+      m_evacuation_prefix(protocol.evacuation_prefix()),
       m_workers_prefix(protocol.workers_prefix()),
       m_own(protocol.own_prefix(), node),
       m_sequence(first_sequence),
@@ -83,6 +87,9 @@
 void directory::apply(time_point now, const store_item& content)
 {
     m_lapsed = m_lapsed == time_point{} ? now : m_lapsed;
+    if (is_unused(content.key)) {
+        return;
+    }
     if (const auto fault = fault_of(content)) {
         skip(content.key, *fault);
         return;
@@ -112,6 +119,10 @@
         m_lapsed = now;
     }
     kept.content = content;
+    if (is_evacuation(content.key)) {
+        // Peers take an empty value for a removal.
+        kept.content.value = evacuation_value;
+    }
     if (matters) {
         kept.changed =
             number(content.key, removed == m_removed.end() ? kept.changed : removed->second.changed);
@@ -142,11 +153,20 @@
     }
 }
 
+bool directory::is_unused(const std::string& key) const
+{
+    return key.starts_with(m_operator_prefix) && !is_evacuation(key) && key != m_protocol.configuration_key();
+}
+
 std::optional<input_error> directory::fault_of(const store_item& content) const
 {
     const std::string& key = content.key;
-    const bool known_kind =
-        key == m_protocol.configuration_key() || is_worker(key) || key.starts_with(m_own.prefix());
+    if (is_evacuation(key) && (key.size() == m_evacuation_prefix.size() ||
+                               key.find('/', m_evacuation_prefix.size()) != std::string::npos)) {
+        return input_error{input_fault::key, "the key names no data centre"};
+    }
+    const bool known_kind = key == m_protocol.configuration_key() || is_evacuation(key) || is_worker(key) ||
+                            key.starts_with(m_own.prefix());
     if (!known_kind || key.size() > max_key_bytes ||
         !std::all_of(key.begin(), key.end(), [](unsigned char c) { return c > ' ' && c != 0x7f; })) {
         return input_error{input_fault::key, "the key is too long, has odd bytes, or is of no known kind"};
@@ -266,6 +286,7 @@
     m_changes.workers = m_changes.workers || is_worker(key);
     m_changes.instances = m_changes.instances || m_own.is_instance(key);
     m_changes.layout = m_changes.layout || m_own.is_layout(key);
+    m_changes.evacuations = m_changes.evacuations || is_evacuation(key);
 }
 
 directory::change directory::take_changes()
@@ -326,6 +347,16 @@
     return found;
 }
 
+std::set<data_centre_id> directory::evacuated() const
+{
+    std::set<data_centre_id> found;
+    for (auto place = m_items.lower_bound(m_evacuation_prefix);
+         place != m_items.end() && is_evacuation(place->first); ++place) {
+        found.emplace(place->first.substr(m_evacuation_prefix.size()));
+    }
+    return found;
+}
+
 bool directory::complete(time_point now) const
 {
     return now > m_failed + outage_memory && now > m_lapsed + lapse_memory;
--- a/source/instance/directory.h
+++ b/source/instance/directory.h
@@ -10,9 +10,9 @@
 
 namespace poplarshed::instance {
 
-/// Copy of the parts of the store that an instance needs: the configuration, the entries of workers and the
-/// instances' own records. Fed by the store or by a peer; changes are numbered, so that peers can ask for
-/// those that they lack. Not thread-safe; no I/O.
+/// Copy of the parts of the store that an instance needs: the configuration, the evacuations, the entries of
+/// workers and the instances' own records. Fed by the store or by a peer; changes are numbered, so that peers
+/// can ask for those that they lack. Not thread-safe; no I/O.
 class directory {
 public:
     struct change {
@@ -20,6 +20,7 @@
         bool workers = false;
         bool instances = false;
         bool layout = false;
+        bool evacuations = false;
     };
 
     /// An item that is not used.
@@ -70,6 +71,8 @@
 
     const std::string& configuration_value() const { return m_configuration.content.value; }
     std::vector<workers::worker_entry> workers() const;
+    /// Data centres whose evacuation the operators have ordered.
+    std::set<data_centre_id> evacuated() const;
     const own_records& own() const { return m_own; }
     bool contains(const std::string& key) const { return m_items.contains(key); }
     /// No worker has gone lately without having said that it drains, none has changed its pool, and no call
@@ -99,8 +102,13 @@
     /// Numbers a change. @param before number of the last change of the same key, 0 for none
     std::uint64_t number(const std::string& key, std::uint64_t before);
     bool is_worker(const std::string& key) const { return key.starts_with(m_workers_prefix); }
+    bool is_evacuation(const std::string& key) const { return key.starts_with(m_evacuation_prefix); }
+    /// Operators' items that instances do not use.
+    bool is_unused(const std::string& key) const;
 
     const protocol& m_protocol;
+    std::string m_operator_prefix;
+    std::string m_evacuation_prefix;
     std::string m_workers_prefix;
     own_records m_own;
     std::map<std::string, item> m_items;
--- a/source/instance/guarded_protocol.h
+++ b/source/instance/guarded_protocol.h
@@ -12,6 +12,8 @@
     explicit guarded_protocol(const protocol& inner) : m_inner(inner) {}
 
     std::string configuration_key() const override { return m_inner.configuration_key(); }
+    std::string operator_prefix() const override { return m_inner.operator_prefix(); }
+    std::string evacuation_prefix() const override { return m_inner.evacuation_prefix(); }
     std::string workers_prefix() const override { return m_inner.workers_prefix(); }
     std::string own_prefix() const override { return m_inner.own_prefix(); }
     http::request list_items(const std::string& prefix, const std::string& after) const override
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -26,6 +26,14 @@
     }
 }
 
+void pool_host::set_evacuated(time_point now, std::set<data_centre_id> evacuated)
+{
+    m_evacuated = std::move(evacuated);
+    for (const auto& [id, pool] : m_pools) {
+        pool->set_evacuated(now, m_evacuated.contains(routing::data_centre_of(id)));
+    }
+}
+
 std::vector<routing::claim_pool> pool_host::decide(time_point now, const surroundings& view)
 {
     std::vector<routing::pool_id> fenced;
@@ -81,6 +89,7 @@
     m_last_run = options.first_run_number;
     auto created = std::make_unique<workers::pool>(options, now);
     created->on_directory_completeness(m_complete);
+    created->set_evacuated(now, m_evacuated.contains(routing::data_centre_of(pool)));
     created->on_directory(now, entries);
     m_pools.insert_or_assign(pool, std::move(created));
     m_outputs.on_held_changed(now);
--- a/source/instance/pool_host.h
+++ b/source/instance/pool_host.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -60,6 +61,8 @@
     void on_directory(time_point now, routing::pool_map pools);
     /// @param complete no worker that may be alive is missing
     void on_directory_completeness(bool complete);
+    /// Data centres whose workers get no more tasks.
+    void set_evacuated(time_point now, std::set<data_centre_id> evacuated);
     /// Drops and takes pools. @returns claims to write to the store
     std::vector<routing::claim_pool> decide(time_point now, const surroundings& view);
     /// @param revision of the claim's record, where the store accepted it
@@ -103,6 +106,7 @@
     routing::ownership m_ownership;
     routing::pool_map m_directory;
     bool m_complete = false;
+    std::set<data_centre_id> m_evacuated;
     std::map<routing::pool_id, std::unique_ptr<workers::pool>> m_pools;
     std::uint64_t m_last_run = 0;
     workers::loss_ledger m_losses;
--- a/source/instance/protocol.h
+++ b/source/instance/protocol.h
@@ -88,6 +88,10 @@
 
     // Store
     virtual std::string configuration_key() const = 0;
+    /// Prefix of the items that operators write: the configuration, evacuations and others that are not used.
+    virtual std::string operator_prefix() const = 0;
+    /// Prefix of the orders to evacuate a data centre; its name follows. Contained in operator_prefix().
+    virtual std::string evacuation_prefix() const = 0;
     virtual std::string workers_prefix() const = 0;
     /// Prefix of the items that the instances write.
     virtual std::string own_prefix() const = 0;
--- a/source/instance/store_link.cpp
+++ b/source/instance/store_link.cpp
@@ -39,7 +39,7 @@
 store_link::store_link(options values, const protocol& protocol, directory& items)
     : m_options(std::move(values)), m_protocol(protocol), m_directory(items)
 {
-    m_feeds[0].prefix = protocol.configuration_key();
+    m_feeds[0].prefix = protocol.operator_prefix();
     m_feeds[1].prefix = protocol.workers_prefix();
     m_feeds[2].prefix = protocol.own_prefix();
 }
--- a/source/routing/router.cpp
+++ b/source/routing/router.cpp
@@ -166,7 +166,8 @@
         now, pending_job.offer.service,
         [&](const workers::instance_status& status, const workers::pool_load& load) {
             const auto& returned = pending_job.returned_by;
-            if (status.leaving || std::find(returned.begin(), returned.end(), load.pool) != returned.end()) {
+            if (status.leaving || m_evacuated.contains(data_centre_of(load.pool)) ||
+                std::find(returned.begin(), returned.end(), load.pool) != returned.end()) {
                 return;
             }
             const workers::backlog queue = expected_backlog(status.address, load);
@@ -185,6 +186,17 @@
     return chosen ? std::optional(choices.at(*chosen)) : std::nullopt;
 }
 
+bool router::is_evacuated(time_point now, const service_id& service) const
+{
+    bool any = false;
+    bool all = true;
+    m_peers.for_each_pool(now, service, [&](const workers::instance_status&, const workers::pool_load& load) {
+        any = true;
+        all = all && m_evacuated.contains(data_centre_of(load.pool));
+    });
+    return any && all;
+}
+
 bool router::offer(time_point now, job& pending_job, routing_decision decision)
 {
     auto chosen = choose(now, pending_job);
@@ -381,7 +393,8 @@
 void router::wait_for_holder(time_point now, const job_id& id)
 {
     job& pending_job = m_jobs.at(id);
-    if (now < m_holder_expected_until && may_still_start(now, pending_job)) {
+    if (now < m_holder_expected_until && may_still_start(now, pending_job) &&
+        !is_evacuated(now, pending_job.offer.service)) {
         pending_job.holder = endpoint();
         return;
     }
@@ -542,7 +555,7 @@
     if (!may_offer(now)) {
         pending_job.holder = endpoint();
     } else if (!offer(now, pending_job, routing_decision::offered_elsewhere)) {
-        give_up(now, result.job, refusal_reason::no_runners);
+        end_unstarted(now, result.job);
     }
 }
 
--- a/source/routing/router.h
+++ b/source/routing/router.h
@@ -111,6 +111,8 @@
     /// This process was paused; holders may have treated it as unreachable and dropped its jobs. No job is
     /// offered for the time of offer_delay_after_pause.
     void on_pause(time_point now);
+    /// Data centres whose pools get no more jobs.
+    void set_evacuated(std::set<data_centre_id> evacuated) { m_evacuated = std::move(evacuated); }
     /// A status has arrived; its load figures include the offers that were sent before.
     void on_status(const endpoint& holder);
     std::size_t job_count() const { return m_jobs.size(); }
@@ -166,6 +168,8 @@
     /// Load of a pool in the last status, with the work that was sent to it since.
     workers::backlog expected_backlog(const endpoint& holder, const workers::pool_load& load) const;
     std::optional<choice> choose(time_point now, const job& pending_job) const;
+    /// True if the service has pools, and the data centres of all of them are evacuated.
+    bool is_evacuated(time_point now, const service_id& service) const;
     /// False for a short time after a pause of this process.
     bool may_offer(time_point now) const { return now >= m_no_offers_until; }
     bool offer(time_point now, job& pending_job, routing_decision decision);
@@ -223,6 +227,7 @@
         std::int64_t cpu_ms = 0;  ///< milli-cores multiplied by milliseconds
     };
     std::map<endpoint, std::map<pool_id, sent_work>> m_sent_work;  ///< since the holder's last status
+    std::set<data_centre_id> m_evacuated;
     std::vector<routing_action> m_actions;
 };
 
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -87,6 +87,9 @@
     "poplarshed_registrars", "", "Registrars of a submission id of this data centre: 2, or 1 if alone."};
 inline constexpr gauge_definition configuration_in_force{
     "poplarshed_configuration_version", "", "Version of the configuration in force; 0 for none."};
+inline constexpr gauge_definition data_centre_evacuated{
+    "poplarshed_data_centre_evacuated", "data_centre",
+    "1 while an order to evacuate the data centre is in force at this instance, else 0."};
 inline constexpr gauge_definition platform_reachable{
     "poplarshed_platform_reachable", "", "1 if the last call to the platform was answered, else 0."};
 inline constexpr gauge_definition ready{"poplarshed_ready", "", "1 if the instance accepts jobs, else 0."};
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -33,6 +33,11 @@
     double remote_slowdown = 3;  ///< factor on the duration of a task that runs remote from its data
 };
 
+/// Jobs that have started may start their remaining tasks for this time after an evacuation became known:
+/// mostly they wait for room that their own runs leave. An order must take effect within five seconds of its
+/// acknowledgement, and may be known here up to 3.2 s after it, when a watch has gone silent.
+inline constexpr milliseconds evacuation_grace{500};
+
 /// Manages the workers of a pool: admits jobs, starts their tasks, renews leases and processes the ends of
 /// runs. At most one run of a task exists at a time, also across holders. Not thread-safe; no I/O.
 class pool {
@@ -63,6 +68,10 @@
     void on_list_failure(time_point now, const worker_id& id, list_failure cause);
     /// Loads of the other pools of the service.
     void on_other_pools(std::vector<pool_load> loads);
+    /// Begins or ends the evacuation of the data centre: no job is started here meanwhile. Jobs of which
+    /// nothing has started go back to their owners; started ones may start their remaining tasks for
+    /// evacuation_grace. Runs go on.
+    void set_evacuated(time_point now, bool evacuated);
     void on_tick(time_point now);
     /// Returns every job to its owner with the tasks that may run. The runs continue under their leases.
     void hand_over(time_point now);
@@ -243,6 +252,8 @@
     void give_back(const job_record& job);
     job_result not_held_answer(const job_record& job) const;
     void stop_tasks(time_point now, const job_record& job);
+    /// Moves or ends the jobs that cannot be started here because of an evacuation.
+    void clear_evacuated(time_point now);
     void refuse_infeasible(time_point now);
     void return_surplus(time_point now);
     void refuse(time_point now, const job_record& job, refusal_reason reason, milliseconds retry_after,
@@ -411,6 +422,7 @@
     time_point m_created;
     bool m_fenced = false;
     bool m_directory_complete = false;
+    std::optional<time_point> m_evacuated_at;  ///< when the evacuation became known here
     std::uint64_t m_last_run;
     command_path m_path;
     bool m_window_full = false;  ///< tasks wait for the answers to earlier starts
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -251,6 +251,11 @@
 
 bool pool::admit(time_point now, job_record& job)
 {
+    if (m_evacuated_at) {
+        record(decision::evacuated, job.offer.job, {}, "not admitted");
+        pass_on(job);
+        return false;
+    }
     const double ratio = mean_ratio(now);
     const queue_rank own = rank(now, job, ratio);
     backlog queue = current_backlog(now);
@@ -362,6 +367,44 @@
     }
 }
 
+void pool::set_evacuated(time_point now, bool evacuated)
+{
+    if (evacuated == m_evacuated_at.has_value()) {
+        return;
+    }
+    m_evacuated_at = evacuated ? std::optional(now) : std::nullopt;
+    clear_evacuated(now);
+    schedule(now);
+}
+
+void pool::clear_evacuated(time_point now)
+{
+    if (!m_evacuated_at) {
+        return;
+    }
+    std::vector<job_id> moved;
+    std::vector<job_id> ended;
+    for (const auto& [id, job] : m_jobs) {
+        if (!job->started && job->offer.order != owner_order::only) {
+            moved.push_back(id);
+        } else if (job->started && job->waiting > 0 && now >= *m_evacuated_at + evacuation_grace &&
+                   knows_former_runs(now, *job)) {
+            ended.push_back(id);
+        }
+    }
+    for (const job_id& id : moved) {
+        record(decision::evacuated, id, {}, "moved");
+        pass_on(*find_job(id));
+        m_jobs.erase(id);
+    }
+    for (const job_id& id : ended) {
+        record(decision::evacuated, id, {}, "ended");
+        job_result result = make_result(*find_job(id), job_end::gave_up);
+        result.reason = refusal_reason::no_runners;
+        finish_job(now, id, std::move(result));
+    }
+}
+
 job_result pool::make_result(const job_record& job, job_end end) const
 {
     job_result result;
--- a/source/workers/pool_runs.cpp
+++ b/source/workers/pool_runs.cpp
@@ -634,6 +634,7 @@
     std::erase_if(m_orphan_ends,
                   [now](const auto& entry) { return now > entry.second + orphan_end_retention; });
     remove_departed_workers();
+    clear_evacuated(now);
     schedule(now);
     refuse_infeasible(now);
     return_surplus(now);
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -199,6 +199,9 @@
 {
     const std::int64_t typical = std::max<std::int64_t>(1, typical_cpu());
     backlog queue;
+    if (m_evacuated_at) {
+        return queue;
+    }
     for (const auto& [id, worker] : m_workers) {
         if (!is_usable(now, worker)) {
             continue;
@@ -248,7 +251,9 @@
 // only asked for the order does not expect the job to be started here.
 bool pool::may_start_tasks(time_point now, const job_record& job) const
 {
-    return now <= job.granted_until && !has_other_owner(job) && job.offer.order != owner_order::only;
+    const bool evacuated = m_evacuated_at && (!job.started || now >= *m_evacuated_at + evacuation_grace);
+    return !evacuated && now <= job.granted_until && !has_other_owner(job) &&
+           job.offer.order != owner_order::only;
 }
 
 bool pool::knows_former_runs(time_point now, const job_record& job) const
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -12,7 +12,8 @@
     "start_failed",   "run_ended",         "run_overdue",      "worker_ejected",    "worker_restored",
     "worker_silent",  "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
     "fenced",         "offer_expired",     "grant_ended",      "owner_superseded",  "owner_admitted",
-    "owner_released", "awaits_owner",      "worker_crashed",   "task_suspected",    "task_given_up"};
+    "owner_released", "awaits_owner",      "worker_crashed",   "task_suspected",    "task_given_up",
+    "evacuated"};
 
 constexpr std::array<std::string_view, run_end_count> run_end_names{
     "done", "failed", "stopped", "lapsed", "peer_ended", "peers_missing", "crashed"};
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -419,8 +419,9 @@
     worker_crashed,    ///< its process has ended without notice
     task_suspected,    ///< workers were lost under the task, which runs alone on a worker from now on
     task_given_up,     ///< too many workers were lost under the task
+    evacuated,         ///< the job was moved or ended because its data centre is evacuated
 };
-inline constexpr std::size_t decision_count = 25;
+inline constexpr std::size_t decision_count = 26;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
--- a/tests/instance/fleet_instance.cpp
+++ b/tests/instance/fleet_instance.cpp
@@ -164,6 +164,8 @@
 {
     m_store_answered = now;
     m_records = view.records;
+    m_router.set_evacuated(view.evacuated);
+    m_pools.set_evacuated(now, view.evacuated);
     if (m_directory == view.directory) {
         return;
     }
--- a/tests/instance/fleet_store.cpp
+++ b/tests/instance/fleet_store.cpp
@@ -21,6 +21,15 @@
     m_directory = std::make_shared<routing::pool_map>(std::move(directory));
 }
 
+void virtual_store::set_evacuated(const data_centre_id& data_centre, bool evacuated)
+{
+    if (evacuated) {
+        m_evacuated.insert(data_centre);
+    } else {
+        m_evacuated.erase(data_centre);
+    }
+}
+
 void virtual_store::go_away(milliseconds length, bool leases_pause)
 {
     m_away_until = std::max(m_away_until, m_time.now() + length);
@@ -46,6 +55,7 @@
 {
     store_view view;
     view.directory = m_directory;
+    view.evacuated = m_evacuated;
     for (const auto& [pool, kept] : m_items) {
         view.records.emplace(pool, kept.record);
     }
--- a/tests/instance/fleet_store.h
+++ b/tests/instance/fleet_store.h
@@ -12,6 +12,7 @@
 struct store_view {
     std::map<routing::pool_id, routing::pool_record> records;
     std::shared_ptr<const routing::pool_map> directory;
+    std::set<data_centre_id> evacuated;
 };
 
 /// What may happen to a claim; shares of all claims.
@@ -30,6 +31,8 @@
     explicit virtual_store(virtual_time& time) : m_time(time) {}
 
     void publish(routing::pool_map directory);
+    /// Orders the evacuation of a data centre, or takes it back.
+    void set_evacuated(const data_centre_id& data_centre, bool evacuated);
     /// Answers nobody for a time. Leases pause meanwhile, or lapse.
     void go_away(milliseconds length, bool leases_pause);
     claim_faults& faults() { return m_faults; }
@@ -67,6 +70,7 @@
 
     virtual_time& m_time;
     std::shared_ptr<const routing::pool_map> m_directory = std::make_shared<routing::pool_map>();
+    std::set<data_centre_id> m_evacuated;
     std::map<routing::pool_id, item> m_items;
     std::map<session, time_point> m_leases;
     std::uint64_t m_revision = 100;
--- a/tests/instance/fleet_world.cpp
+++ b/tests/instance/fleet_world.cpp
@@ -11,6 +11,9 @@
 constexpr milliseconds entry_lapse{1500};
 constexpr milliseconds greatest_wall_offset{2000};
 
+// From the order to the last start (users' rule).
+constexpr milliseconds evacuation_bound{5000};
+
 // Orders to workers that are sent meanwhile are on their way when the connections are reset.
 constexpr milliseconds reset_duration{2};
 
@@ -105,6 +108,7 @@
     virtual_workers::receivers events;
     events.started = [this](const workers::task_ref& task, const std::string& worker) {
         ++m_starts;
+        check_evacuation(task, worker);
         m_callers.on_started(task, worker);
     };
     events.broken_rule = [this](const std::string& job, const std::string& what) { break_rule(job, what); };
@@ -128,6 +132,29 @@
     return events;
 }
 
+void virtual_fleet::evacuate(std::size_t data_centre, milliseconds length)
+{
+    const std::string& centre = m_data_centres.at(data_centre);
+    if (!m_evacuated_at.emplace(centre, m_time.now()).second) {
+        return;
+    }
+    note_fault("evacuation of " + centre, length);
+    m_store.set_evacuated(data_centre_id(centre), true);
+    m_time.after(length, [this, centre] {
+        m_time.note({}, "end of the evacuation of " + centre);
+        m_evacuated_at.erase(centre);
+        m_store.set_evacuated(data_centre_id(centre), false);
+    });
+}
+
+void virtual_fleet::check_evacuation(const workers::task_ref& task, const std::string& worker)
+{
+    const auto since = m_evacuated_at.find(worker.substr(0, worker.find('-')));
+    if (since != m_evacuated_at.end() && m_time.now() > since->second + evacuation_bound) {
+        break_rule(task.job.value(), "a start on " + worker + ", whose data centre is evacuated");
+    }
+}
+
 void virtual_fleet::reset_connections()
 {
     m_time.note({}, "FAULT all connections are reset");
--- a/tests/instance/fleet_world.h
+++ b/tests/instance/fleet_world.h
@@ -61,6 +61,8 @@
     void crash_worker(std::size_t index, milliseconds until_start);
     /// The worker restarts under its id; the directory shows it `until_shown` after that.
     void restart_worker(std::size_t index, milliseconds until_start, milliseconds until_shown);
+    /// Orders the evacuation of a data centre, and takes it back after a time.
+    void evacuate(std::size_t data_centre, milliseconds length);
     void revoke_record();
     void show_stale_store(std::size_t index, milliseconds length);
 
@@ -81,6 +83,8 @@
     virtual_workers::receivers worker_events();
     virtual_callers::receivers caller_events();
     void break_rule(const std::string& job, const std::string& what);
+    /// Breaks a rule if the worker's data centre has been evacuated for too long.
+    void check_evacuation(const workers::task_ref& task, const std::string& worker);
     void note_fault(const std::string& text, milliseconds length);
     const std::string& name(std::size_t index) const { return m_addresses.at(index).value(); }
 
@@ -97,7 +101,8 @@
     virtual_links m_links;
     virtual_callers m_callers;
     std::size_t m_starts = 0;
-    time_point m_resetting_until;  ///< connections to workers
+    std::map<std::string, time_point> m_evacuated_at;  ///< by data centre
+    time_point m_resetting_until;                      ///< connections to workers
     std::vector<std::string> m_violations;
 };
 
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -477,6 +477,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_data_centre_is_evacuated)
+
+// Guards against a job that goes to a holder that has not heard of the order yet.
+BOOST_AUTO_TEST_CASE(the_other_one_gets_the_job)
+{
+    fixture f;
+    f.receive_status(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.receive_status(status_of("far", "punkunnam", {load_of(other_pool)}));
+    f.tested_router.set_evacuated({data_centre_id("ollur")});
+    BOOST_TEST(offers(f.submit("j"), "far").size() == 1U);
+}
+
+// Guards against callers that wait although no pool may take their job.
+BOOST_AUTO_TEST_CASE(a_job_that_no_pool_may_take_is_refused_at_once)
+{
+    fixture f;
+    f.receive_status(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("first");
+    f.tested_router.set_evacuated({data_centre_id("ollur")});
+    const auto answers = all<answer_caller>(f.submit("second", caller_id(2)));
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].kind == answer_kind::refused));
+    BOOST_TEST((answers[0].reason == refusal_reason::no_runners));
+}
+
+// Guards against an answer that leaves open whether the job has run, which a caller must not send again
+// without care.
+BOOST_AUTO_TEST_CASE(a_returned_job_without_another_pool_has_not_run)
+{
+    fixture f;
+    f.receive_status(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.submit("j");
+    f.tested_router.set_evacuated({data_centre_id("ollur")});
+    const auto answers = all<answer_caller>(f.answer("near", "j", workers::job_end::returned));
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].kind == answer_kind::refused));
+}
+
+// Guards against a data centre that stays unused after its evacuation.
+BOOST_AUTO_TEST_CASE(its_pools_are_used_again_when_it_is_taken_back)
+{
+    fixture f;
+    f.receive_status(status_of("near", "ollur", {load_of(ollur_pool)}));
+    f.tested_router.set_evacuated({data_centre_id("ollur")});
+    f.tested_router.set_evacuated({});
+    BOOST_TEST(offers(f.submit("j"), "near").size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarshed::routing::test
