ctl: show evacuations and what still runs there

`poplarshedctl evacuation` reads the metrics of instances: which data centres are evacuated there, for how long, and how many runs are left on workers whose pools the instance holds.

--- a/source/ctl/commands.cpp
+++ b/source/ctl/commands.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <iostream>
 #include <random>
 
+#include "ctl/evacuations.h"
 #include "ctl/request_path.h"
 #include "json/json.h"
 #include "settings/settings.h"
@@ -133,6 +135,36 @@
                   instance.value() + " drains\n"};
 }
 
+exit_code commands::evacuation()
+{
+    return for_each_instance(&commands::instance_evacuations);
+}
+
+commands::outcome commands::instance_evacuations(const endpoint& instance)
+{
+    const auto answer = call_instance("GET", instance, "/metrics", m_options.token);
+    if (!answer) {
+        return answer.error();
+    }
+    if (answer.value().status != http_ok) {
+        return refused_by(instance, answer.value());
+    }
+    report out{{{"instance", instance.value()}, {"data_centres", report_json::array()}}, {}};
+    for (const evacuation_state& state : read_evacuations(answer.value().body)) {
+        out.json["data_centres"].push_back({{"data_centre", state.data_centre},
+                                            {"in_force", state.in_force},
+                                            {"seconds", state.seconds},
+                                            {"runs", state.runs}});
+        out.text += "  " + state.data_centre;
+        out.text += state.in_force
+                        ? ": evacuated for " + std::to_string(std::lround(state.seconds)) + " s, " +
+                              std::to_string(std::lround(state.runs)) + " runs left here\n"
+                        : ": in use again\n";
+    }
+    out.text = instance.value() + (out.text.empty() ? ": no evacuation\n" : "\n" + out.text);
+    return out;
+}
+
 exit_code commands::explain()
 {
     if (!m_options.logs.empty()) {
--- a/source/ctl/commands.h
+++ b/source/ctl/commands.h
@@ -35,6 +35,7 @@
 
     exit_code status();
     exit_code drain();
+    exit_code evacuation();
     exit_code explain();
     exit_code settings();
     exit_code validate();
@@ -63,6 +64,7 @@
     outcome run_show(workflow& work);
     outcome instance_status(const endpoint& instance);
     outcome instance_drain(const endpoint& instance);
+    outcome instance_evacuations(const endpoint& instance);
 
     ctl_result<configuration::bundle> read_bundle_file(const std::string& path) const;
     /// A version number, "current" or the name of a file.
--- a/source/ctl/main.cpp
+++ b/source/ctl/main.cpp
@@ -23,6 +23,8 @@
 {
     add(app, "status", "Show the status of entry instances", &commands::status, chosen);
     add(app, "drain", "Make entry instances finish their jobs and leave", &commands::drain, chosen);
+    add(app, "evacuation", "Show which data centres are evacuated; --instance names metrics addresses",
+        &commands::evacuation, chosen);
     CLI::App* const explain = add(app, "explain", "Explain a reason of a refusal, or how a request ended",
                                   &commands::explain, chosen);
     explain
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -317,6 +317,7 @@
     }
     update_directory(now);
     follow_store_state(now);
+    report_evacuations(now);
     follow_directory(now);
     follow_configuration(now);
     m_router.on_tick(now);
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -94,6 +94,7 @@
     bool is_directory_source(time_point now) const { return m_relay.is_source() && m_store.watches(now); }
     void apply_configuration(std::string_view source);
     void apply_evacuations(time_point now);
+    void report_evacuations(time_point now);
     void update_network();
     void propose_layout(time_point now);
     void follow_store_state(time_point now);
@@ -118,7 +119,7 @@
     routing::router m_router;
     routing::configuration m_configuration;
     bool m_configured = false;
-    std::set<data_centre_id> m_evacuated;
+    std::map<data_centre_id, time_point> m_evacuated;  ///< and when the order came into force here
     pool_host m_pools;
     std::unordered_map<http::call_id, pending_call> m_calls;
     fault_journal m_row_faults;  ///< by worker and fault
--- a/source/instance/daemon_calls.cpp
+++ b/source/instance/daemon_calls.cpp
@@ -167,7 +167,7 @@
 
 void daemon::apply_evacuations(time_point now)
 {
-    const std::set<data_centre_id> previous = std::exchange(m_evacuated, m_directory.evacuated());
+    const std::set<data_centre_id> ordered = m_directory.evacuated();
     const auto report = [this](const data_centre_id& data_centre, bool begins) {
         m_metrics.set(telemetry::data_centre_evacuated, begins ? 1 : 0, data_centre.value());
         m_log.event({severity::warning,
@@ -175,20 +175,34 @@
                      begins ? "evacuation in force" : "evacuation ended",
                      {},
                      {{"data_centre", data_centre.value()},
-                      {"jobs", static_cast<std::int64_t>(m_pools.job_count())}}});
+                      {"runs", static_cast<std::int64_t>(m_pools.run_count(data_centre))}}});
     };
-    for (const data_centre_id& data_centre : m_evacuated) {
-        if (!previous.contains(data_centre)) {
+    std::erase_if(m_evacuated, [&](const auto& known) {
+        const bool ended = !ordered.contains(known.first);
+        if (ended) {
+            report(known.first, false);
+            m_metrics.set(telemetry::evacuation_seconds, 0, known.first.value());
+            m_metrics.set(telemetry::evacuated_runs, 0, known.first.value());
+        }
+        return ended;
+    });
+    for (const data_centre_id& data_centre : ordered) {
+        if (m_evacuated.try_emplace(data_centre, now).second) {
             report(data_centre, true);
         }
     }
-    for (const data_centre_id& data_centre : previous) {
-        if (!m_evacuated.contains(data_centre)) {
-            report(data_centre, false);
-        }
+    m_router.set_evacuated(ordered);
+    m_pools.set_evacuated(now, ordered);
+}
+
+void daemon::report_evacuations(time_point now)
+{
+    for (const auto& [data_centre, since] : m_evacuated) {
+        const std::chrono::duration<double> age = now - since;
+        m_metrics.set(telemetry::evacuation_seconds, age.count(), data_centre.value());
+        m_metrics.set(telemetry::evacuated_runs, static_cast<double>(m_pools.run_count(data_centre)),
+                      data_centre.value());
     }
-    m_router.set_evacuated(m_evacuated);
-    m_pools.set_evacuated(now, m_evacuated);
 }
 
 void daemon::apply_configuration(std::string_view source)
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -262,6 +262,15 @@
     }
 }
 
+std::size_t pool_host::run_count(const data_centre_id& data_centre) const
+{
+    std::size_t total = 0;
+    for (const auto& [id, pool] : m_pools) {
+        total += routing::data_centre_of(id) == data_centre ? pool->run_count() : 0;
+    }
+    return total;
+}
+
 std::size_t pool_host::job_count() const
 {
     std::size_t total = 0;
--- a/source/instance/pool_host.h
+++ b/source/instance/pool_host.h
@@ -92,6 +92,8 @@
     std::vector<routing::pool_id> held() const;
     std::vector<workers::pool_load> loads(time_point now) const;
     std::size_t job_count() const;
+    /// Runs on workers of a data centre, in the pools that are held here.
+    std::size_t run_count(const data_centre_id& data_centre) const;
     /// Adds the instances whose jobs are here.
     void add_owners(std::set<endpoint>& owners) const;
 
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -90,6 +90,12 @@
 inline constexpr gauge_definition data_centre_evacuated{
     "poplarshed_data_centre_evacuated", "data_centre",
     "1 while an order to evacuate the data centre is in force at this instance, else 0."};
+inline constexpr gauge_definition evacuation_seconds{
+    "poplarshed_evacuation_seconds", "data_centre",
+    "Time since the order to evacuate the data centre came into force at this instance; 0 if there is none."};
+inline constexpr gauge_definition evacuated_runs{
+    "poplarshed_evacuated_runs", "data_centre",
+    "Runs on workers of the data centre in pools that this instance holds, while it is evacuated; else 0."};
 inline constexpr gauge_definition platform_reachable{
     "poplarshed_platform_reachable", "", "1 if the last call to the platform was answered, else 0."};
 inline constexpr gauge_definition ready{"poplarshed_ready", "", "1 if the instance accepts jobs, else 0."};
