workers: wait for a worker near the data while it pays

Each remote run takes remote_slowdown times the room.

Change: locality.h decides for the waiting tasks of a step together how many wait for their rack, from the expected room of its workers and the slack of the job. A near worker that is in time goes first when room is short. A label without usable workers is ignored. Speeds are observed relative to the expected duration at that place, so that remote runs do not make a worker appear slow. A job that waits for its rack is not returned as surplus. New decisions waits_for_rack, left_rack and rack_missing. Steps without preferred_label are placed as before.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -7,6 +7,7 @@
 
 #include "workers/command_path.h"
 #include "workers/grant.h"
+#include "workers/locality.h"
 #include "workers/policy.h"
 #include "workers/speed.h"
 #include "workers/types.h"
@@ -121,6 +122,9 @@
         bool started = false;               ///< a start was sent by this or a former holder
         std::set<std::uint32_t> uncertain;  ///< tasks that a former holder may have started
         time_point uncertain_until;         ///< runs of the former holder have expired by then
+        bool waits_for_rack = false;        ///< at its last placement a task waited for its rack
+        /// Decisions about the rack of a step that were reported: each step reports each of them once.
+        std::set<std::pair<std::uint32_t, decision>> rack_reports;
     };
 
     struct run_record {
@@ -261,9 +265,42 @@
     // Scheduling
     void schedule(time_point now);
     bool place_task(time_point now, job_record& job, std::uint32_t number);
+    /// Workers for a task.
+    struct worker_choice {
+        std::vector<const worker_record*> workers;    ///< those with room
+        std::vector<placement_candidate> candidates;  ///< the same
+        std::vector<placement_candidate> near;        ///< those of them that have the preferred label
+        std::vector<const worker_record*> rack;       ///< have the preferred label, with room or without
+        bool scarce = false;                          ///< most of the pool is in use
+    };
+    /// Decision about the tasks of a step that wait; holds for one call of schedule().
+    struct step_plan {
+        job_id job;
+        std::uint32_t step = 0;
+        rack_plan plan;
+    };
     /// @param isolated only idle workers
-    std::optional<worker_id> select_worker(time_point now, const job_record& job, std::uint32_t number,
+    std::optional<worker_id> select_worker(time_point now, job_record& job, std::uint32_t number,
                                            bool isolated);
+    worker_choice find_workers(time_point now, const job_record& job, std::uint32_t number,
+                               bool isolated) const;
+    /// True if the worker may run the task, now or as soon as it has room.
+    bool may_run(const worker_record& worker, const job_record& job, std::uint32_t number,
+                 bool isolated) const;
+    /// True if the task waits for a worker near its data rather than start on the chosen one.
+    bool waits_for_rack(time_point now, job_record& job, std::uint32_t number, const worker_choice& choice,
+                        std::size_t chosen);
+    /// Decides how many tasks of a step wait for their rack, all workers of which are busy.
+    /// @param elsewhere expected duration on the worker that would be taken otherwise
+    void plan_step(time_point now, const job_record& job, std::uint32_t number, const worker_choice& choice,
+                   milliseconds elsewhere);
+    /// Expected room of a worker in this call of schedule().
+    room_forecast& forecast(time_point now, const worker_record& worker);
+    /// Number of tasks of the step that have not been started.
+    static std::size_t waiting_in_step(const job_record& job, std::uint32_t step);
+    /// Reports a decision about the rack of a step once.
+    void report_rack(job_record& job, std::uint32_t step, decision kind, milliseconds near,
+                     milliseconds elsewhere);
     void start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker,
                     bool isolated);
     /// True if tasks of the job may be started now.
@@ -287,6 +324,9 @@
     /// Time that a worker may delay its answer to a list sent now.
     milliseconds list_wait(time_point now, const worker_record& worker) const;
     milliseconds expected_duration(time_point now, const worker_record& worker, const job_step& step) const;
+    /// Expected duration on a worker of average speed that is as near to the data as this one. Speeds are
+    /// observed relative to it, so that runs remote from their data do not make workers appear slow.
+    milliseconds local_estimate(const worker_record& worker, const job_step& step) const;
     double mean_ratio(time_point now) const;
     queue_rank rank(time_point now, const job_record& job, double ratio) const;
     job_demand demand(const job_record& job, double ratio) const;
@@ -434,6 +474,8 @@
     std::map<job_id, std::vector<std::uint32_t>> m_finished_tasks;
     std::vector<worker_loss> m_losses;                      ///< recent
     std::set<worker_id> m_kept_free;                        ///< for suspected tasks
+    std::map<worker_id, room_forecast> m_forecasts;         ///< of workers near data, in one schedule()
+    std::optional<step_plan> m_step_plan;                   ///< the last one of the present schedule()
     std::map<worker_id, time_point> m_crashed_by_suspects;  ///< workers that are not back yet
     std::vector<action> m_actions;
 };
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -229,7 +229,7 @@
             run.limit.reset();
             worker.used = worker.used.minus(run.need).plus(step_of(job, number).need);
             run.need = step_of(job, number).need;
-            run.estimate = step_of(job, number).estimate;
+            run.estimate = local_estimate(worker, step_of(job, number));
             run.expected = expected_duration(now, worker, step_of(job, number));
             job.tasks[number].state = run.stopping ? task_state::stopping : task_state::running;
             job.tasks[number].run = run.number;
@@ -350,7 +350,8 @@
     const double ratio = mean_ratio(now);
     std::vector<job_id> moved;
     for (const job_record* job : waiting_in_order(now)) {
-        if (job->started || job->offer.returns >= max_returns) {
+        // A job that waits for its rack does not lack room here.
+        if (job->started || job->offer.returns >= max_returns || job->waits_for_rack) {
             continue;
         }
         const job_demand need = demand(*job, ratio);
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -90,14 +90,18 @@
 milliseconds pool::expected_duration(time_point now, const worker_record& worker, const job_step& step) const
 {
     double factor = worker.speed.ratio(now);
-    const auto& labels = worker.entry.labels;
-    if (!step.preferred_label.empty() &&
-        std::find(labels.begin(), labels.end(), step.preferred_label) == labels.end()) {
+    if (!step.preferred_label.empty() && !worker.entry.has_label(step.preferred_label)) {
         factor *= m_options.remote_slowdown;
     }
     return scaled(step.estimate, factor);
 }
 
+milliseconds pool::local_estimate(const worker_record& worker, const job_step& step) const
+{
+    const bool remote = !step.preferred_label.empty() && !worker.entry.has_label(step.preferred_label);
+    return remote ? scaled(step.estimate, m_options.remote_slowdown) : step.estimate;
+}
+
 double pool::mean_ratio(time_point now) const
 {
     double rate = 0;
@@ -219,6 +223,8 @@
     if (m_fenced) {
         return;
     }
+    m_forecasts.clear();
+    m_step_plan.reset();
     std::size_t window = m_path.window();
     window -= std::min(window, unanswered_starts());
     m_window_full = window == 0;
@@ -284,18 +290,42 @@
     if (!chosen) {
         return false;
     }
-    start_task(now, job, number, m_workers.at(*chosen), false);
+    worker_record& worker = m_workers.at(*chosen);
+    start_task(now, job, number, worker, false);
+    const auto expected = m_forecasts.find(*chosen);
+    if (expected != m_forecasts.end()) {
+        const job_step& step = step_of(job, number);
+        expected->second.occupy(now, step.need, expected_duration(now, worker, step));
+    }
     return true;
 }
 
-std::optional<worker_id> pool::select_worker(time_point now, const job_record& job, std::uint32_t number,
-                                             bool isolated)
+bool pool::may_run(const worker_record& worker, const job_record& job, std::uint32_t number,
+                   bool isolated) const
 {
     const job_step& step = step_of(job, number);
-    const task_record& task = job.tasks[number];
-    const std::uint32_t step_index = ref_of(job, number).step;
-    std::vector<placement_candidate> candidates;
-    std::vector<const worker_id*> ids;
+    const worker_id& id = worker.entry.id;
+    const bool labelled = step.required_label.empty() || worker.entry.has_label(step.required_label);
+    const bool isolates = isolated ? !worker.runs.empty()
+                                   : std::any_of(worker.runs.begin(), worker.runs.end(),
+                                                 [](const auto& entry) { return entry.second.isolated; });
+    const auto same_step = [&, index = ref_of(job, number).step](const auto& entry) {
+        return entry.first.job == job.offer.job && entry.first.step == index;
+    };
+    // A worker restored after an ejection gets one task at a time until a task succeeds.
+    const bool probing = worker.failures_in_row > 0 && worker.ejections > 0 && !worker.runs.empty();
+    if (!labelled || id == job.tasks[number].avoid || probing || isolates || m_kept_free.contains(id)) {
+        return false;
+    }
+    return step.max_per_worker == 0 || std::count_if(worker.runs.begin(), worker.runs.end(), same_step) <
+                                           static_cast<std::ptrdiff_t>(step.max_per_worker);
+}
+
+pool::worker_choice pool::find_workers(time_point now, const job_record& job, std::uint32_t number,
+                                       bool isolated) const
+{
+    const job_step& step = step_of(job, number);
+    worker_choice choice;
     std::int64_t capacity = 0;
     std::int64_t used = 0;
     for (const auto& [id, worker] : m_workers) {
@@ -305,32 +335,63 @@
         capacity += worker.entry.capacity.cpu_milli;
         used += worker.used.cpu_milli;
         const resources left = worker.entry.capacity.minus(worker.used);
-        const auto& labels = worker.entry.labels;
-        const bool labelled = step.required_label.empty() ||
-                              std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
-        const bool isolates = isolated ? !worker.runs.empty()
-                                       : std::any_of(worker.runs.begin(), worker.runs.end(),
-                                                     [](const auto& entry) { return entry.second.isolated; });
-        const auto same_step = [&](const auto& entry) {
-            return entry.first.job == job.offer.job && entry.first.step == step_index;
-        };
-        // A worker restored after an ejection gets one task at a time until a task succeeds.
-        const bool probing = worker.failures_in_row > 0 && worker.ejections > 0 && !worker.runs.empty();
-        if (!left.fits(step.need) || !labelled || id == task.avoid || probing || isolates ||
-            m_kept_free.contains(id) ||
-            (step.max_per_worker > 0 && std::count_if(worker.runs.begin(), worker.runs.end(), same_step) >=
-                                            static_cast<std::ptrdiff_t>(step.max_per_worker))) {
+        const bool has_room = left.fits(step.need);
+        const bool near = !step.preferred_label.empty() && worker.entry.capacity.fits(step.need) &&
+                          worker.entry.has_label(step.preferred_label);
+        if ((!has_room && !near) || !may_run(worker, job, number, isolated)) {
             continue;
         }
-        candidates.push_back(
-            {ids.size(), expected_duration(now, worker, step), left.cpu_milli - step.need.cpu_milli});
-        ids.push_back(&id);
+        if (near) {
+            choice.rack.push_back(&worker);
+        }
+        if (has_room) {
+            choice.candidates.push_back({choice.workers.size(), expected_duration(now, worker, step),
+                                         left.cpu_milli - step.need.cpu_milli});
+            choice.workers.push_back(&worker);
+        }
+        if (has_room && near) {
+            choice.near.push_back(choice.candidates.back());
+        }
     }
+    choice.scarce = static_cast<double>(used) > static_cast<double>(capacity) * scarce_share;
+    if (!step.preferred_label.empty() && choice.rack.empty()) {
+        // Data of a rack without workers is near to none of them.
+        for (placement_candidate& candidate : choice.candidates) {
+            candidate.duration = scaled(step.estimate, choice.workers[candidate.index]->speed.ratio(now));
+        }
+    }
+    return choice;
+}
+
+std::optional<worker_id> pool::select_worker(time_point now, job_record& job, std::uint32_t number,
+                                             bool isolated)
+{
+    const worker_choice choice = find_workers(now, job, number, isolated);
     // A suspected task may cost its worker, so that a slow one serves, too.
-    const bool scarce = isolated || static_cast<double>(used) > static_cast<double>(capacity) * scarce_share;
+    const bool scarce = isolated || choice.scarce;
     const time_point until = job.started ? job.deadline_at : job.useful_until;
-    const auto chosen = choose_worker(candidates, {now, job.objective_at, until, scarce});
-    return chosen ? std::optional(*ids.at(*chosen)) : std::nullopt;
+    const placement_goal goal{now, job.objective_at, until, scarce};
+    const auto id_of = [&choice](std::size_t index) { return choice.workers.at(index)->entry.id; };
+    const bool labelled = !step_of(job, number).preferred_label.empty();
+    job.waits_for_rack = false;
+    if (!labelled || isolated || m_options.remote_slowdown <= 1) {
+        const auto chosen = choose_worker(choice.candidates, goal);
+        return chosen ? std::optional(id_of(*chosen)) : std::nullopt;
+    }
+    if (scarce) {
+        // A run elsewhere takes more of the room that is short, so any worker near the data that is in time
+        // goes first.
+        const auto near =
+            choose_worker(choice.near, {now, goal.objective_at, std::min(until, goal.objective_at), scarce});
+        if (near) {
+            return id_of(*near);
+        }
+    }
+    const auto chosen = choose_worker(choice.candidates, goal);
+    if (!chosen || waits_for_rack(now, job, number, choice, *chosen)) {
+        return std::nullopt;
+    }
+    return id_of(*chosen);
 }
 
 void pool::start_task(time_point now, job_record& job, std::uint32_t number, worker_record& worker,
@@ -349,7 +410,7 @@
     created.task = ref;
     created.number = assigned;
     created.need = step.need;
-    created.estimate = step.estimate;
+    created.estimate = local_estimate(worker, step);
     created.expected = expected_duration(now, worker, step);
     created.sent = now;
     created.isolated = isolated;
--- a/source/workers/types.cpp
+++ b/source/workers/types.cpp
@@ -13,7 +13,7 @@
     "worker_silent",  "worker_back",       "worker_lapsed",    "job_ended",         "orphan_stopped",
     "fenced",         "offer_expired",     "grant_ended",      "owner_superseded",  "owner_admitted",
     "owner_released", "awaits_owner",      "worker_crashed",   "task_suspected",    "task_given_up",
-    "evacuated"};
+    "evacuated",      "waits_for_rack",    "left_rack",        "rack_missing"};
 
 constexpr std::array<std::string_view, run_end_count> run_end_names{
     "done", "failed", "stopped", "lapsed", "peer_ended", "peers_missing", "crashed"};
@@ -75,6 +75,9 @@
         case decision::started:
         case decision::owner_admitted:
         case decision::owner_released:
+        case decision::waits_for_rack:
+        case decision::left_rack:
+        case decision::rack_missing:
             return true;
         case decision::run_ended:
             return record.detail == to_string(run_end::done);
--- a/source/workers/types.h
+++ b/source/workers/types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -58,6 +59,11 @@
     std::uint64_t incarnation = 0;  ///< changes when the worker restarts under the same id
 
     bool operator==(const worker_entry&) const = default;
+
+    bool has_label(const std::string& label) const
+    {
+        return std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
 };
 
 /// Step of a job; all its tasks have the same needs and estimate.
@@ -420,8 +426,11 @@
     task_suspected,    ///< workers were lost under the task, which runs alone on a worker from now on
     task_given_up,     ///< too many workers were lost under the task
     evacuated,         ///< the job was moved or ended because its data centre is evacuated
+    waits_for_rack,    ///< tasks of a step wait for a worker near their data
+    left_rack,         ///< a task of a step was started elsewhere although its rack has workers
+    rack_missing,      ///< no usable worker has the preferred label of a step, which is ignored
 };
-inline constexpr std::size_t decision_count = 26;
+inline constexpr std::size_t decision_count = 29;
 
 /// Name of a decision in logs and metrics.
 std::string_view to_string(decision value);
--- a/tests/workers/pool_fixture.h
+++ b/tests/workers/pool_fixture.h
@@ -134,12 +134,19 @@
                 }
             } else if (auto* report = std::get_if<job_losses>(&item)) {
                 losses.push_back(*report);
+            } else if (auto* made = std::get_if<decision_record>(&item)) {
+                decisions.push_back(*made);
             }
         }
     }
 
     pool& get() { return m_pool; }
     time_point now() const { return m_now; }
+    std::size_t count(decision kind) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            decisions.begin(), decisions.end(), [kind](const auto& made) { return made.kind == kind; }));
+    }
 
     std::vector<start_command> starts;
     std::vector<stop_command> stops;
@@ -148,6 +155,7 @@
     std::vector<endpoint> result_receivers;  ///< of each result
     std::vector<job_progress> progress;
     std::vector<job_losses> losses;
+    std::vector<decision_record> decisions;
 
 private:
     time_point m_now{seconds(1000)};
--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -135,8 +135,13 @@
                       "two runs at one time of task " + std::to_string(command.task.index) + ":");
     }
     const milliseconds work = job == m_jobs.end() ? milliseconds(100) : job->second.work;
-    const auto duration = milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(work.count()) * worker.behaviour.slowness));
+    const std::string& rack =
+        job == m_jobs.end() ? std::string() : job->second.offer.steps.at(0).preferred_label;
+    const bool remote = !rack.empty() && !worker.entry.has_label(rack);
+    m_remote_starts += remote ? 1 : 0;
+    const double slowness = worker.behaviour.slowness * (remote ? m_racks.remote_slowdown : 1);
+    const auto duration =
+        milliseconds(static_cast<std::int64_t>(static_cast<double>(work.count()) * slowness));
     worker.runs.insert_or_assign(
         command.task,
         live_run{command.run, m_now, m_now + (worker.behaviour.fails ? milliseconds(1) : duration),
--- a/tests/workers/virtual_workers.cpp
+++ b/tests/workers/virtual_workers.cpp
@@ -26,12 +26,16 @@
 
 }  // namespace
 
-virtual_site::virtual_site(std::size_t workers, std::uint64_t seed) : m_random(seed), m_workers(workers)
+virtual_site::virtual_site(std::size_t workers, std::uint64_t seed, rack_layout racks)
+    : m_random(seed), m_workers(workers), m_racks(racks)
 {
     for (std::size_t i = 0; i < workers; ++i) {
         virtual_worker& worker = m_workers[i];
         worker.entry = pool_fixture::entry(i);
         worker.entry.incarnation = worker.incarnation;
+        if (racks.workers_per_rack > 0) {
+            worker.entry.labels = {"r" + std::to_string(i / racks.workers_per_rack)};
+        }
         worker.capacities = {{m_now, worker.entry.capacity.cpu_milli}};
         worker.clock_base_ms = first_clock_ms;
         worker.clock_since = m_now;
@@ -53,6 +57,7 @@
     }
     pool_options options = pool_fixture::options();
     options.token = fencing_token(10 + m_last_holder);
+    options.remote_slowdown = m_racks.remote_slowdown;
     options.first_run_number = (m_last_holder + 1) * 1'000'000;
     m_holders.push_back({std::make_unique<workers::pool>(options, m_now), ++m_last_holder, {}});
     holder().on_directory_completeness(is_complete());
--- a/tests/workers/virtual_workers.h
+++ b/tests/workers/virtual_workers.h
@@ -43,11 +43,17 @@
     crash_kind kind = crash_kind::refusing;
 };
 
+/// Racks of the workers: those of rack N have the label "rN".
+struct rack_layout {
+    std::size_t workers_per_rack = 0;  ///< 0 for workers without labels
+    double remote_slowdown = 3;  ///< factor on the duration of a task elsewhere than its preferred label
+};
+
 /// Simulates workers and one or two holders in virtual time. Records the results of jobs and every violated
 /// rule.
 class virtual_site {
 public:
-    explicit virtual_site(std::size_t workers, std::uint64_t seed = 1);
+    explicit virtual_site(std::size_t workers, std::uint64_t seed = 1, rack_layout racks = {});
 
     /// Creates a new holder with a higher token and offers it every open job. The former holder continues,
     /// like an instance that was paused, until drop_former().
@@ -87,6 +93,8 @@
     std::size_t count(job_end end) const;
     std::size_t in_time() const;
     std::size_t starts() const { return m_starts; }
+    /// Starts of tasks on workers without the label that their step prefers.
+    std::size_t remote_starts() const { return m_remote_starts; }
     std::size_t starts_on(std::size_t index) const { return m_workers.at(index).starts; }
     /// Workers that tasks of the job have crashed; the highest number for one task.
     std::size_t crashes_under(const job_id& job) const;
@@ -207,7 +215,9 @@
     std::map<job_id, time_point> m_answered;
     std::set<job_id> m_started_jobs;
     std::multimap<time_point, std::function<void()>> m_events;
+    rack_layout m_racks;
     std::size_t m_starts = 0;
+    std::size_t m_remote_starts = 0;
     std::map<job_id, std::string> m_history;
     std::vector<std::string> m_violations;
 };
