--- a/source/workers/pool_locality.cpp
+++ b/source/workers/pool_locality.cpp
@@ -27,7 +27,8 @@
     // The tasks that go elsewhere are started before the others wait, since a job whose task waits is not
     // looked at further.
     job.waits_for_rack = waiting_in_step(job, index) <= m_step_plan->plan.waiting;
-    const milliseconds near = std::chrono::duration_cast<milliseconds>(m_step_plan->plan.first.end - now);
+    const milliseconds near = std::max(
+        milliseconds(0), std::chrono::duration_cast<milliseconds>(m_step_plan->plan.first.end - now));
     report_rack(job, index, job.waits_for_rack ? decision::waits_for_rack : decision::left_rack, near,
                 elsewhere);
     return job.waits_for_rack;
