http: serve callers with an HTTP server of the project

Pistache parses a request again from its start with each read, holds whole bodies without a bound on their sum and keeps incomplete heads for ever. http::server reads each byte once on one thread (Boost.Asio, Beast's parser), counts bytes when they arrive (http::budget) and closes stalled connections when memory or connections run out. caller_front keeps its public interface.

Evidence: ctest -R '^(instance|users_platform_end_to_end)$' passes (debug).

--- a/source/instance/caller_front.h
+++ b/source/instance/caller_front.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "http/server.h"
 #include "instance/events.h"
 
 namespace poplarshed::instance {
@@ -17,9 +18,12 @@
     std::string time_limit_header;
     std::string request_id_header = "Request-Id";
     std::size_t max_body_bytes = std::size_t{1} << 20U;
+    http::budget_limits share;  ///< what callers may hold; readiness and metrics have shares of their own
+    http::connection_limits limits;  ///< of each connection; max_body_bytes replaces the bound on its bodies
+    http::server_observer observer;  ///< told of connections closed and requests refused; any listener
 };
 
-/// HTTP listeners. Threads of theirs hand requests to the core thread; any thread may answer.
+/// HTTP listeners. A thread of theirs hands requests to the core thread; any thread may answer.
 class caller_front {
 public:
     using metrics_source = std::function<std::string()>;
@@ -43,19 +47,17 @@
     void shutdown();
 
 private:
-    class handler;
+    class caller_handler;
     class control_handler;
-    class writer_table;
-    class listener;
-    struct refusal;
+
+    http::listener_options caller_listener() const;
+    /// Of readiness or of metrics.
+    http::listener_options control_listener(const std::string& address) const;
 
     front_options m_options;
-    core_inbox& m_inbox;
-    metrics_source m_metrics;
-    std::shared_ptr<writer_table> m_writers;
-    std::shared_ptr<std::atomic<bool>> m_ready;
-    std::shared_ptr<refusal> m_refusal;
-    std::vector<std::unique_ptr<listener>> m_listeners;
+    std::unique_ptr<caller_handler> m_callers;
+    std::unique_ptr<control_handler> m_control;
+    http::server m_server;  ///< last: its thread ends before what its handlers use
 };
 
 }  // namespace poplarshed::instance
--- a/source/instance/events.h
+++ b/source/instance/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <variant>
 
 #include "common/common.h"
@@ -11,6 +12,7 @@
 struct request_arrived {
     routing::caller_id caller;
     caller_request request;
+    std::shared_ptr<void> held;  ///< counts the body in the listener's memory until the event is destroyed
 };
 
 struct caller_left {
