http: limits for callers as settings, counters and tests

Settings callers.limits, with defaults from the machine's size where the settings name it; counters of closed connections and refused requests, one log line for each reason in 10 s. JSON bodies are counted before a tree is built.

--- a/source/http/budget.h
+++ b/source/http/budget.h
@@ -27,12 +27,13 @@
 /// - Above 7/8, large requests that have begun wait, except the oldest, so that one can always end; small
 ///   ones go on.
 /// - At the limit new requests of any size are refused.
-/// - Above 7/8, or without a free connection, the stalled connection with the greatest product of bytes held
+/// - Above 3/4, or without a free connection, the stalled connection with the greatest product of bytes held
 ///   and time without progress is closed. One that makes progress, waits for its answer or is kept waiting
 ///   by the server is never chosen.
+/// Large requests stop growing at 7/8 and small ones hold half at most, so that 11/8 is the most in all.
 class budget {
 public:
-    /// Time without progress after which a connection may be closed under pressure. Above the usual delay of
+    /// Time without progress after which a connection may be closed for others. Above the usual delay of
     /// a retransmission, so that one lost packet does not count as a stall.
     static constexpr milliseconds stall_time{1000};
     /// Each connection counts at least this: its objects in this process.
--- a/source/http/server_connection.h
+++ b/source/http/server_connection.h
@@ -13,6 +13,9 @@
 
 namespace poplarshed::http {
 
+// Buffers of a connection above this are given back when they are empty.
+inline constexpr std::size_t kept_buffer_bytes = std::size_t{4} * 1024;
+
 /// What a connection needs of its server.
 class connection_host {
 public:
@@ -28,8 +31,6 @@
     virtual void drop_exchange(exchange_id id) = 0;
     virtual std::shared_ptr<void> hold(std::size_t bytes) = 0;
     virtual void count(request_refusal reason) = 0;
-    /// Closes stalled connections while memory is short.
-    virtual void relieve() = 0;
     /// Space for one read; valid until the next one.
     virtual boost::asio::mutable_buffer scratch() = 0;
     /// Forgets the connection, tells the handler of its waiting requests and closes it.
--- a/source/instance/daemon.cpp
+++ b/source/instance/daemon.cpp
@@ -44,13 +44,22 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
-front_options front_options_of(const settings& values)
+front_options front_options_of(const settings& values, http::server_observer observer)
 {
     front_options options;
     options.address = values.callers.value();
     options.ready_address = values.readiness.value();
     options.metrics_address = values.metrics.value();
     options.time_limit_header = values.time_limit_header;
+    const caller_limits& limits = values.limits;
+    options.share = {limits.memory_mb << 20U, limits.connections, limits.body_progress_bytes_per_s};
+    options.limits.request.head_bytes = limits.head_bytes;
+    options.limits.request.header_fields = limits.header_fields;
+    options.limits.head_timeout = limits.head_timeout;
+    options.limits.pipelined_requests = limits.pipelined_requests;
+    options.limits.unsent_bytes = limits.unsent_bytes;
+    options.limits.body_progress_bytes_per_s = limits.body_progress_bytes_per_s;
+    options.observer = std::move(observer);
     return options;
 }
 
@@ -93,12 +102,38 @@
       m_peers(m_settings.peers, m_settings.data_centre),
       m_router(router_options_now(), m_peers, boot_time_now()),
       m_pools(pool_options_of(m_settings), *this, boot_time_now()),
-      m_front(front_options_of(m_settings), m_inbox, [this] { return m_metrics.to_prometheus(); }),
+      m_front(front_options_of(m_settings, front_observer()), m_inbox,
+              [this] { return m_metrics.to_prometheus(); }),
       m_http({connections_per_host}, [this](http::call_id call, http::response response) {
           m_inbox.push(call_ended{call, std::move(response)});
       })
 {}
 
+http::server_observer daemon::front_observer()
+{
+    const auto report = [this](std::string_view message, std::string_view reason) {
+        m_log.event({severity::warning,
+                     telemetry::category::http,
+                     std::string(message),
+                     {},
+                     {{"reason", std::string(reason)}}});
+    };
+    http::server_observer observer;
+    observer.on_closed = [this, report](http::close_reason reason, bool log_due) {
+        m_metrics.add(telemetry::connections_closed, http::to_string(reason));
+        if (log_due) {
+            report("connections closed", http::to_string(reason));
+        }
+    };
+    observer.on_refused = [this, report](http::request_refusal reason, bool log_due) {
+        m_metrics.add(telemetry::requests_refused, http::to_string(reason));
+        if (log_due) {
+            report("requests refused before they were read", http::to_string(reason));
+        }
+    };
+    return observer;
+}
+
 daemon::~daemon()
 {
     m_front.shutdown();
--- a/source/instance/daemon.h
+++ b/source/instance/daemon.h
@@ -33,6 +33,8 @@
 private:
     using pending_call = std::variant<pending_order, store_call>;
 
+    /// Counts what the listeners close and refuse. Called on their thread.
+    http::server_observer front_observer();
     /// Drops an event whose handler throws.
     void handle_guarded(time_point now, core_event& event);
     void handle(time_point now, request_arrived& event);
--- a/source/instance/settings.cpp
+++ b/source/instance/settings.cpp
@@ -1,5 +1,8 @@
 #include "instance/settings.h"
 
+#include <algorithm>
+#include <array>
+
 #include "json/json.h"
 
 namespace poplarshed::instance {
@@ -12,6 +15,51 @@
 constexpr double max_cpu_share = 1024;
 constexpr double milli = 1000;
 
+constexpr std::size_t max_machine_mb = std::size_t{1} << 24U;
+constexpr std::size_t max_machine_fds = std::size_t{1} << 24U;
+
+// Of the machine's memory callers hold two fifths at most: the rest is for the program, for a document that
+// is being read, and for what the memory allocator keeps. Beyond the greatest figure, more helps no caller.
+constexpr std::size_t least_derived_mb = 8;
+constexpr std::size_t greatest_derived_mb = 256;
+// Half of the descriptors are left to workers, peers and the store.
+constexpr std::size_t least_derived_connections = 64;
+constexpr std::size_t greatest_derived_connections = 4096;
+
+/// One whole number of the section callers.limits.
+struct limit_field {
+    const char* key;
+    std::size_t caller_limits::*member;
+    std::uint64_t minimum;
+    std::uint64_t maximum;
+};
+
+constexpr std::array<limit_field, 9> limit_fields{{
+    {"memory_mb", &caller_limits::memory_mb, 1, 65'536},
+    {"connections", &caller_limits::connections, 4, 1'000'000},
+    {"head_bytes", &caller_limits::head_bytes, 1024, 1'048'576},
+    {"header_fields", &caller_limits::header_fields, 8, 10'000},
+    {"body_progress_bytes_per_s", &caller_limits::body_progress_bytes_per_s, 1, 1'000'000'000},
+    {"pipelined_requests", &caller_limits::pipelined_requests, 1, 1024},
+    {"unsent_bytes", &caller_limits::unsent_bytes, 4096, 67'108'864},
+    {"json_fields", &caller_limits::json_fields, 16, 1'000'000},
+    {"json_depth", &caller_limits::json_depth, 4, 256},
+}};
+
+// Defaults that suit the machine, where its size is known.
+caller_limits derived_limits(const settings& values)
+{
+    caller_limits limits;
+    if (values.memory_mb > 0) {
+        limits.memory_mb = std::clamp(values.memory_mb * 2 / 5, least_derived_mb, greatest_derived_mb);
+    }
+    if (values.max_fds > 0) {
+        limits.connections =
+            std::clamp(values.max_fds / 2, least_derived_connections, greatest_derived_connections);
+    }
+    return limits;
+}
+
 class reader {
 public:
     reader(const json::value& root, std::vector<std::string>& faults)
@@ -29,11 +77,15 @@
             double share = 1;
             in.read("cpu_share", share, 0.001, max_cpu_share);
             values.cpu_milli = static_cast<std::int64_t>(share * milli);
+            count(in, "memory_mb", values.memory_mb, 1, max_machine_mb);
+            count(in, "max_fds", values.max_fds, 1, max_machine_fds);
         });
         section("callers", true, [&](json::object_reader& in) {
             in.require("listen");
             address(in, "listen", values.callers);
             in.read("time_limit_header", values.time_limit_header);
+            values.limits = derived_limits(values);
+            read_limits(in, values.limits);
         });
         section("readiness", false,
                 [&](json::object_reader& in) { address(in, "listen", values.readiness); });
@@ -108,6 +160,28 @@
         target = milliseconds(static_cast<std::int64_t>(value));
     }
 
+    static void count(json::object_reader& in, const std::string& key, std::size_t& target,
+                      std::uint64_t minimum, std::uint64_t maximum)
+    {
+        std::uint64_t value = target;
+        in.read(key, value, minimum, maximum);
+        target = static_cast<std::size_t>(value);
+    }
+
+    void read_limits(json::object_reader& callers, caller_limits& limits)
+    {
+        const json::value* section = callers.object("limits");
+        if (section == nullptr) {
+            return;
+        }
+        json::object_reader in(*section, callers.path_of("limits"), m_faults);
+        for (const limit_field& field : limit_fields) {
+            count(in, field.key, limits.*field.member, field.minimum, field.maximum);
+        }
+        span(in, "head_timeout_ms", limits.head_timeout);
+        in.finish();
+    }
+
     static void read_seeds(json::object_reader& in, settings& values)
     {
         const json::value* seeds = in.array("seeds");
--- a/source/json/json.cpp
+++ b/source/json/json.cpp
@@ -75,6 +75,56 @@
     std::vector<std::string> m_path;
 };
 
+// Counts values and levels without a document tree, and stops at the first that is too many.
+class size_check : public nlohmann::json_sax<value> {
+public:
+    explicit size_check(const limits& bounds) : m_bounds(bounds) {}
+
+    bool null() override { return add(); }
+    bool boolean(bool) override { return add(); }
+    bool number_integer(number_integer_t) override { return add(); }
+    bool number_unsigned(number_unsigned_t) override { return add(); }
+    bool number_float(number_float_t, const string_t&) override { return add(); }
+    bool string(string_t&) override { return add(); }
+    bool binary(binary_t&) override { return add(); }
+    bool start_object(std::size_t) override { return enter(); }
+    bool start_array(std::size_t) override { return enter(); }
+    bool key(string_t&) override { return true; }
+    bool end_object() override { return leave(); }
+    bool end_array() override { return leave(); }
+    /// The parser reports it again, with its place.
+    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override
+    {
+        return false;
+    }
+
+    bool has_too_many() const { return m_fields > m_bounds.max_fields; }
+
+private:
+    bool add() { return ++m_fields <= m_bounds.max_fields; }
+    bool enter() { return ++m_depth <= m_bounds.max_depth && add(); }
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    const limits& m_bounds;
+    std::size_t m_fields = 0;
+    std::size_t m_depth = 0;
+};
+
+bool has_too_many_fields(std::string_view text, const limits& bounds)
+{
+    // Each value but the last takes two bytes at least, so that a short text needs no count.
+    if (text.size() / 2 < bounds.max_fields) {
+        return false;
+    }
+    size_check check(bounds);
+    value::sax_parse(text, &check, value::input_format_t::json, true, bounds.comments == comments::ignored);
+    return check.has_too_many();
+}
+
 // The library's text begins with "[json.exception.parse_error.101] ", which means nothing to an operator.
 std::string without_prefix(std::string_view what)
 {
@@ -111,6 +161,9 @@
         return error{prefix + std::to_string(text.size()) + " bytes, at most " +
                      std::to_string(bounds.max_bytes) + " allowed"};
     }
+    if (has_too_many_fields(text, bounds)) {
+        return error{prefix + "more than " + std::to_string(bounds.max_fields) + " fields"};
+    }
     structure_check check(bounds.max_depth);
     const auto callback = [&check](int, value::parse_event_t event, value& parsed) {
         check.on_event(event, parsed);
--- a/source/json/json.h
+++ b/source/json/json.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <span>
 #include <string>
@@ -22,6 +23,8 @@
     std::size_t max_bytes = 1U << 20U;
     std::size_t max_depth = 16;
     json::comments comments = json::comments::refused;
+    /// Values, containers included; every field of an object has one.
+    std::size_t max_fields = std::numeric_limits<std::size_t>::max();
 };
 
 /// Reads one document. A key that occurs twice in an object is an error, since readers disagree on which one
--- a/source/settings/reference.cpp
+++ b/source/settings/reference.cpp
@@ -35,6 +35,8 @@
         "# Settings of poplarshed-entry\n\n"
         "Printed by `poplarshedctl settings --markdown` from the declarations in "
         "`source/settings/settings.h`.\n"
+        "The limits for callers of `poplarshed-instance` are in "
+        "[settings-instance.md](settings-instance.md).\n"
         "The file is JSON and may hold comments. Unknown keys, wrong types and values out of bounds are "
         "errors. A\n"
         "duration is text with a unit (`\"500ms\"`, `\"3s\"`, `\"10min\"`, `\"1h\"`); a size is a number of "
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -71,6 +71,13 @@
     "poplarshed_events_failed_total", "event",
     "Requests, messages and answers that were dropped because their handler failed unexpectedly."};
 
+inline constexpr counter_definition connections_closed{
+    "poplarshed_connections_closed_total", "reason",
+    "Connections of callers, readiness and metrics that the server closed for a limit."};
+inline constexpr counter_definition requests_refused{
+    "poplarshed_requests_refused_total", "reason",
+    "Requests that the server refused for a limit or a fault of theirs; none has run."};
+
 inline constexpr counter_definition log_lines_dropped{"poplarshed_log_lines_dropped_total", "",
                                                       "Log lines beyond the bound of the queue or rate."};
 
--- a/tests/json/json_test.cpp
+++ b/tests/json/json_test.cpp
@@ -44,6 +44,16 @@
     BOOST_TEST(fault_of("[1,2]", {.max_bytes = 4}) == "input: 5 bytes, at most 4 allowed");
 }
 
+// Guards against a document of many short values, whose tree takes a hundred times its text.
+BOOST_AUTO_TEST_CASE(values_are_counted_before_a_tree_is_built)
+{
+    BOOST_TEST(fault_of("[1,2,3]", {.max_fields = 3}) == "input: more than 3 fields");
+    BOOST_TEST(fault_of("[1,2,3]", {.max_fields = 4}).empty());
+    BOOST_TEST(fault_of(R"({"a":{"b":1},"c":[]})", {.max_fields = 3}) == "input: more than 3 fields");
+    BOOST_TEST(fault_of(R"({"a":{"b":1},"c":[]})", {.max_fields = 4}).empty());
+    BOOST_TEST(has(fault_of("[1,2,3,4,]", {.max_fields = 5}), "parse error"));
+}
+
 BOOST_AUTO_TEST_CASE(comments_are_read_only_where_allowed)
 {
     BOOST_TEST(!fault_of("[/* c */]").empty());
--- a/tests/users_platform/codec_test.cpp
+++ b/tests/users_platform/codec_test.cpp
@@ -78,6 +78,28 @@
     }
 }
 
+// Guards against bodies of legal size whose document tree takes a hundred times their text.
+BOOST_AUTO_TEST_CASE(a_body_of_too_many_fields_or_levels_is_refused)
+{
+    const auto call_of = [](const platform_protocol& limited, const std::string& extra) {
+        return limited.decode_call(
+            submission(R"({"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":1}],"x":)" + extra + "}"),
+            a_route());
+    };
+    std::string many = "[0";
+    for (int i = 0; i < 50'000; ++i) {
+        many += ",0";
+    }
+    const auto refused = call_of(codec, many + "]");
+    BOOST_TEST((refused.kind == instance::call_kind::invalid));
+    BOOST_TEST((refused.reason == refusal_reason::invalid_body));
+    BOOST_TEST(codec.encode_refusal(refused.reason, {}).status == 400);
+    BOOST_TEST((call_of(codec, "[0]").kind == instance::call_kind::submit));
+    const platform_protocol strict({1000, 4});
+    BOOST_TEST((call_of(strict, "[[[0]]]").kind == instance::call_kind::submit));
+    BOOST_TEST((call_of(strict, "[[[[0]]]]").kind == instance::call_kind::invalid));
+}
+
 // Guards against a refusal that the caller takes for an error of its own.
 BOOST_AUTO_TEST_CASE(statuses_say_what_happened)
 {
