--- a/tests/integration/harness/process.cpp
+++ b/tests/integration/harness/process.cpp
@@ -131,6 +131,11 @@
     return m_child->child.running(failed) && !failed;
 }
 
+int child_process::pid() const
+{
+    return m_child->child.id();
+}
+
 std::string child_process::describe()
 {
     const std::string state =
--- a/tests/integration/harness/process.h
+++ b/tests/integration/harness/process.h
@@ -56,6 +56,8 @@
     /// @returns the exit code, or nothing if the process still runs at the limit
     std::optional<int> wait_for_exit(milliseconds limit = wait_limit);
     bool running();
+    /// Process id; also after the end of the process.
+    int pid() const;
     /// Whether it runs, its exit code, and the end of its output; for messages about failures.
     std::string describe();
 
