--- a/tests/hostile/bodies_test.cpp
+++ b/tests/hostile/bodies_test.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <string_view>
 
 #include "hostile/world.h"
 
@@ -42,6 +43,29 @@
                          .pause = std::chrono::milliseconds(1)});
 }
 
+// The first write ends after the carriage return of the first size line, each further one a chunk later.
+void send_chunks_split_in_size_lines(world& instance, const target& to)
+{
+    const std::size_t head_bytes = post_with_chunks(to, 0, chunk_bytes)->size();
+    instance.withstands(to, 1,
+                        {.bytes = post_with_chunks(to, chunks, chunk_bytes),
+                         .first_bytes = head_bytes + std::string_view("1000\r").size(),
+                         .piece_bytes = chunk_bytes + std::string_view("1000\r\n\r\n").size(),
+                         .pause = std::chrono::milliseconds(1)});
+}
+
+// The first write ends before the line feed that follows the data of the first chunk.
+void send_chunks_split_after_data(world& instance, const target& to)
+{
+    const std::size_t head_bytes = post_with_chunks(to, 0, chunk_bytes)->size();
+    const std::size_t cycle = chunk_bytes + std::string_view("1000\r\n\r\n").size();
+    instance.withstands(to, 1,
+                        {.bytes = post_with_chunks(to, chunks, chunk_bytes),
+                         .first_bytes = head_bytes + cycle - 1,
+                         .piece_bytes = cycle,
+                         .pause = std::chrono::milliseconds(1)});
+}
+
 void bodies_far_over_the_limit(world& instance, const target& to)
 {
     instance.withstands(to, members_far_over,
@@ -174,6 +198,65 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a listener that one client occupies, since a size line that comes in two reads is parsed
+// with all that follows.
+BOOST_AUTO_TEST_SUITE(chunks_split_in_size_lines)
+
+BOOST_AUTO_TEST_CASE(at_a_route)
+{
+    world instance;
+    send_chunks_split_in_size_lines(instance, instance.route());
+}
+
+BOOST_AUTO_TEST_CASE(at_an_unknown_path)
+{
+    world instance;
+    send_chunks_split_in_size_lines(instance, instance.unknown_path());
+}
+
+BOOST_AUTO_TEST_CASE(at_readiness)
+{
+    world instance;
+    send_chunks_split_in_size_lines(instance, instance.readiness());
+}
+
+BOOST_AUTO_TEST_CASE(at_metrics)
+{
+    world instance;
+    send_chunks_split_in_size_lines(instance, instance.metrics());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against the same where the line end of a chunk's data comes in two reads.
+BOOST_AUTO_TEST_SUITE(chunks_split_after_data)
+
+BOOST_AUTO_TEST_CASE(at_a_route)
+{
+    world instance;
+    send_chunks_split_after_data(instance, instance.route());
+}
+
+BOOST_AUTO_TEST_CASE(at_an_unknown_path)
+{
+    world instance;
+    send_chunks_split_after_data(instance, instance.unknown_path());
+}
+
+BOOST_AUTO_TEST_CASE(at_readiness)
+{
+    world instance;
+    send_chunks_split_after_data(instance, instance.readiness());
+}
+
+BOOST_AUTO_TEST_CASE(at_metrics)
+{
+    world instance;
+    send_chunks_split_after_data(instance, instance.metrics());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against reading and keeping a body whose announced length is refused anyway.
 BOOST_AUTO_TEST_SUITE(far_over_the_limit)
 
--- a/tests/hostile/fields_test.cpp
+++ b/tests/hostile/fields_test.cpp
@@ -9,10 +9,12 @@
 constexpr std::size_t json_members = 100'000;
 constexpr std::size_t requests_with_members = 60;
 constexpr std::size_t json_depth = 100'000;
-constexpr std::size_t header_lines = 8'000;
-constexpr std::size_t requests_with_lines = 100;
+// Heads of 250 kB, from fewer connections than the instance allows.
+constexpr std::size_t header_lines = 50'000;
+constexpr std::size_t requests_with_lines = 60;
 // About 1 MB, the legal size of a request, of the shortest lines.
 constexpr std::size_t lines_of_largest_head = 200'000;
+constexpr std::size_t largest_heads = 4;
 constexpr std::size_t piece_bytes = 4096;
 
 void many_json_members(world& instance, const target& to)
@@ -32,7 +34,7 @@
 
 void large_head_in_pieces(world& instance, const target& to)
 {
-    instance.withstands(to, 1,
+    instance.withstands(to, largest_heads,
                         {.bytes = get_with_header_lines(to, lines_of_largest_head, false),
                          .piece_bytes = piece_bytes,
                          .pause = std::chrono::milliseconds(1)});
