replay: vary needs, durations, workers and demand of traces

The traces knew only equal jobs on equal workers, so that the rounding of a worker's room to whole mean needs did not show. A trace can now name a spread of needs, an error of estimates, a tail of run times, workers of unlike size and speed, and demand that swings as a wave. The bound follows: it counts each worker with its size and speed, and leaves out jobs with a task that exceeds the objective on every worker.

--- a/tests/workers/replay_test.cpp
+++ b/tests/workers/replay_test.cpp
@@ -75,6 +75,26 @@
     BOOST_TEST(possible_worth(day, arrivals(10, milliseconds(0))) == 1.0, boost::test_tools::tolerance(1e-9));
 }
 
+// Guards against a bound that counts every worker as one of the default size or speed.
+BOOST_AUTO_TEST_CASE(as_much_as_workers_of_unlike_size_and_speed_do)
+{
+    trace day = small_day();
+    day.worker_cpu = {32'000, 16'000};
+    BOOST_TEST(possible_worth(day, arrivals(10, milliseconds(0))) == 2.25,
+               boost::test_tools::tolerance(1e-9));
+    day.worker_slowness = {1, 0.5};
+    BOOST_TEST(possible_worth(day, arrivals(10, milliseconds(0))) == 3.0, boost::test_tools::tolerance(1e-9));
+}
+
+// Guards against a bound that serves a job one task of which exceeds the objective on every worker.
+BOOST_AUTO_TEST_CASE(no_job_with_a_task_longer_than_the_objective)
+{
+    std::vector<arrival> jobs = arrivals(2, milliseconds(500));
+    jobs[0].run_factors = {1, 7, 1, 1};
+    BOOST_TEST(possible_worth(small_day(), jobs) == 1.0, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(count(serve_in_order(small_day(), jobs)) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(baselines)
@@ -121,6 +141,44 @@
     BOOST_TEST(draw_arrivals(day, 8).size() != 0U);
 }
 
+// Guards against needs, estimates and tails that a trace names but that no job shows, and against a variation
+// that changes the arrivals of a seed.
+BOOST_AUTO_TEST_CASE(jobs_vary_as_the_trace_says)
+{
+    trace day = small_day();
+    day.kinds[0].per_second = 200;
+    const std::size_t plain = draw_arrivals(day, 7).size();
+    day.need_spread = 0.2;
+    day.estimate_error = 0.4;
+    day.tail = {0.25, 7};
+    const auto jobs = draw_arrivals(day, 7);
+    BOOST_REQUIRE_EQUAL(jobs.size(), plain);
+    std::int64_t least = 16'000;
+    std::int64_t most = 0;
+    std::size_t long_runs = 0;
+    for (const arrival& job : jobs) {
+        least = std::min(least, task_cpu(day, job));
+        most = std::max(most, task_cpu(day, job));
+        const auto work = task_work(day, job);
+        long_runs += static_cast<std::size_t>(std::count(work.begin(), work.end(), milliseconds(700)));
+    }
+    BOOST_TEST((least >= 12'800 && least < 13'500 && most <= 19'200 && most > 18'500));
+    BOOST_TEST((long_runs > jobs.size() / 2 && long_runs < jobs.size() * 2));
+}
+
+// Guards against a wave that changes the demand of the whole day instead of moving it.
+BOOST_AUTO_TEST_CASE(a_wave_moves_demand_into_its_first_half)
+{
+    trace day = small_day();
+    day.kinds[0].per_second = 200;
+    day.wave = {0.5, milliseconds(2000)};
+    const auto jobs = draw_arrivals(day, 7);
+    const auto first = std::count_if(jobs.begin(), jobs.end(),
+                                     [](const arrival& job) { return job.at < milliseconds(1000); });
+    const auto second = static_cast<std::ptrdiff_t>(jobs.size()) - first;
+    BOOST_TEST((first > second * 3 / 2 && jobs.size() > 320U && jobs.size() < 480U));
+}
+
 // Guards against a misspelt key that silently removes a fault from a trace.
 BOOST_AUTO_TEST_CASE(faults_of_a_file_are_named)
 {
