workers: count room by the distribution of needs

The room of a worker was counted in whole multiples of the mean need of what ran. With needs around half of a worker the capacity that admission and peers see halved or doubled with the mean. need_distribution keeps a bounded, decaying distribution of the needs that were offered, and gives the expected number of tasks that fit; capacity_cpu, free_cpu and the load use it. A job with a need greater than every worker is returned to its owner while another pool has capacity, and else refused as impossible.

--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -8,6 +8,7 @@
 #include "workers/command_path.h"
 #include "workers/grant.h"
 #include "workers/policy.h"
+#include "workers/room.h"
 #include "workers/speed.h"
 #include "workers/types.h"
 
@@ -33,6 +34,9 @@
     double remote_slowdown = 3;  ///< factor on the duration of a task that runs remote from its data
 };
 
+/// Maximum number of moves of a job between pools; further moves cost more than they gain.
+inline constexpr std::uint32_t max_returns = 2;
+
 /// Jobs that have started may start their remaining tasks for this time after an evacuation became known:
 /// mostly they wait for room that their own runs leave. An order must take effect within five seconds of its
 /// acknowledgement, and may be known here up to 3.2 s after it, when a watch has gone silent.
@@ -292,7 +296,14 @@
     job_demand demand(const job_record& job, double ratio) const;
     std::vector<job_record*> waiting_in_order(time_point now);
     backlog current_backlog(time_point now) const;
+    /// Mean processor need of a task, in thousandths of a core.
     std::int64_t typical_cpu() const;
+    /// Adds the needs of an offered job to the distribution that rooms are counted by.
+    void learn_needs(const job_offer& offer);
+    /// False if every worker of the directory is smaller than the need.
+    bool can_ever_fit(const resources& need) const;
+    /// Returns or refuses a job of which a task is greater than every worker. @returns false for others
+    bool refuse_oversized(time_point now, const job_record& job);
     /// Starts that the worker has neither answered nor failed to answer.
     std::size_t unanswered_starts() const;
     /// Part of the objective that is needed to send the start and to receive the end of a task.
@@ -431,6 +442,7 @@
     std::unordered_map<job_id, admitted_owner> m_admitted_owners;
     std::map<task_ref, time_point> m_orphan_ends;  ///< finished before their job was claimed
     std::vector<pool_load> m_other_pools;
+    need_distribution m_needs;  ///< of the tasks offered here
     std::map<job_id, std::vector<std::uint32_t>> m_finished_tasks;
     std::vector<worker_loss> m_losses;                      ///< recent
     std::set<worker_id> m_kept_free;                        ///< for suspected tasks
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Maximum number of moves of a job between pools; further moves cost more than they gain.
-constexpr std::uint32_t max_returns = 2;
 // A job is returned only if another pool is expected to finish it earlier by at least this much.
 constexpr milliseconds min_transfer_gain{25};
 // Bounds of the retry delay in refusals.
@@ -126,6 +124,10 @@
         job.started = true;
         record(decision::awaits_owner, job.offer.job, {}, owner.value());
     }
+    if (!job.started && refuse_oversized(now, job)) {
+        return;
+    }
+    learn_needs(job.offer);
     if (!job.started && !admit(now, job)) {
         return;
     }
--- a/source/workers/pool_schedule.cpp
+++ b/source/workers/pool_schedule.cpp
@@ -9,8 +9,6 @@
 
 // Share of the pool's processors in use above which capacity counts as scarce.
 constexpr double scarce_share = 0.6;
-// Assumed processor need of a task while no task runs (thousandths of a core), to estimate how many fit.
-constexpr std::int64_t default_task_cpu = 8000;
 // Under a shorter lease a start would be rejected, or the lease would expire before its renewal.
 constexpr milliseconds min_lease{250};
 // Least part of the objective reserved for sending the start and receiving the end of a task.
@@ -157,15 +155,7 @@
 
 std::int64_t pool::typical_cpu() const
 {
-    std::int64_t total = 0;
-    std::int64_t count = 0;
-    for (const auto& [id, worker] : m_workers) {
-        for (const auto& [ref, run] : worker.runs) {
-            total += run.need.cpu_milli;
-            ++count;
-        }
-    }
-    return count == 0 ? default_task_cpu : total / count;
+    return std::max<std::int64_t>(1, std::llround(m_needs.mean()));
 }
 
 milliseconds pool::reporting_time() const
@@ -197,7 +187,6 @@
 
 backlog pool::current_backlog(time_point now) const
 {
-    const std::int64_t typical = std::max<std::int64_t>(1, typical_cpu());
     backlog queue;
     if (m_evacuated_at) {
         return queue;
@@ -206,10 +195,8 @@
         if (!is_usable(now, worker)) {
             continue;
         }
-        const std::int64_t whole = worker.entry.capacity.cpu_milli / typical * typical;
-        queue.capacity_cpu += whole;
-        const std::int64_t left = worker.entry.capacity.cpu_milli - worker.used.cpu_milli;
-        queue.free_cpu += std::max<std::int64_t>(0, left) / typical * typical;
+        queue.capacity_cpu += m_needs.expected_cpu(worker.entry.capacity.cpu_milli);
+        queue.free_cpu += m_needs.expected_cpu(worker.entry.capacity.minus(worker.used).cpu_milli);
     }
     return queue;
 }
