--- a/tests/workers/locality_load_test.cpp
+++ b/tests/workers/locality_load_test.cpp
@@ -11,7 +11,7 @@
 
 /// 4 racks of 4 workers with two slots each: a rack runs 40 tasks of 200 ms per second.
 struct fixture {
-    virtual_site site{16, 1, {4, 1.5}};
+    virtual_site site{16, 1, {}, {4, 1.5}};
     std::size_t offered = 0;
 
     void offer(const std::string& rack)
--- a/tests/workers/virtual_orders.cpp
+++ b/tests/workers/virtual_orders.cpp
@@ -134,9 +134,13 @@
         add_violation(command.task.job,
                       "two runs at one time of task " + std::to_string(command.task.index) + ":");
     }
-    const milliseconds work = job == m_jobs.end() ? milliseconds(100) : job->second.work;
-    const std::string& rack =
-        job == m_jobs.end() ? std::string() : job->second.offer.steps.at(0).preferred_label;
+    milliseconds work{100};
+    std::string rack;
+    if (job != m_jobs.end()) {
+        const std::vector<milliseconds>& each = job->second.work;
+        work = each.at(std::min<std::size_t>(command.task.index, each.size() - 1));
+        rack = job->second.offer.steps.at(0).preferred_label;
+    }
     const bool remote = !rack.empty() && !worker.entry.has_label(rack);
     m_remote_starts += remote ? 1 : 0;
     const double slowness = worker.behaviour.slowness * (remote ? m_racks.remote_slowdown : 1);
