--- a/tests/hostile/world.h
+++ b/tests/hostile/world.h
@@ -21,9 +21,10 @@
 /// process and its own work take 24 MB, leaves twice the default of 48 MB that clients may hold.
 inline constexpr std::size_t memory_growth_bound_kb = 2 * memory_limit_mb * 1024;
 /// Descriptors beyond those of the idle state: the connections of callers, and as many as half of them for
-/// readiness, metrics and the links of the instance itself.
+/// readiness, metrics and the links of the instance itself. The 64 open handshakes of the peers' port
+/// (`peer::network_options::max_open_handshakes`) are within it.
 inline constexpr std::size_t descriptor_growth_bound = connection_limit + connection_limit / 2;
-/// Open handshakes that the peers' port allows (`peer::network_options::max_open_handshakes`) are part of it.
+/// Clients of a crowd that tries the bound of descriptors: twice that bound and more.
 inline constexpr std::size_t many_connections = 200;
 
 /// One instance on the stand-in platform, measured from outside. Its process is never started again.
