http: accept small requests up to 11/8 of the memory of clients

Large requests stop growing at 7/8 and small ones hold half at most, so 11/8 is the most in all, and the limit for small ones. The test of the budget checks both sides of the new limit.

--- a/source/http/budget.h
+++ b/source/http/budget.h
@@ -26,7 +26,7 @@
 /// - Up to 3/4 of the bytes every request is accepted; above, new large ones are refused.
 /// - Above 7/8, large requests that have begun wait, except the oldest, so that one can always end; small
 ///   ones go on.
-/// - At the limit new requests of any size are refused.
+/// - At 11/8 new requests of any size are refused: large ones that have begun must not keep small ones out.
 /// - Above 3/4, or without a free connection, the stalled connection with the greatest product of bytes held
 ///   and time without progress is closed. One that makes progress, waits for its answer or is kept waiting
 ///   by the server is never chosen.
@@ -61,7 +61,7 @@
     void set_small(connection_id id);
     bool is_large(connection_id id) const;
     bool accepts_large() const { return used() < m_limits.bytes / 4 * 3; }
-    bool accepts_new() const { return used() < m_limits.bytes; }
+    bool accepts_new() const { return used() < m_limits.bytes / 8 * 11; }
     bool under_pressure() const { return used() >= m_limits.bytes / 8 * 7; }
     /// Whether the server may read more from this connection.
     bool may_receive(connection_id id) const;
--- a/tests/http/budget_test.cpp
+++ b/tests/http/budget_test.cpp
@@ -44,6 +44,8 @@
     BOOST_TEST(f.clients.accepts_new());
     BOOST_TEST(f.clients.may_receive(connection_id(3)));
     f.clients.set_handed_over(2 * mib);
+    BOOST_TEST(f.clients.accepts_new());
+    f.clients.set_handed_over(5 * mib);
     BOOST_TEST(!f.clients.accepts_new());
 }
 
