--- a/source/http/server_listener.cpp
+++ b/source/http/server_listener.cpp
@@ -185,12 +185,13 @@
         return;
     }
     node.mapped()->drop_waiting();
-    node.mapped()->close_socket();
-    m_budget.close(id);
+    // Counted first, so that a client that sees the end of its connection finds it in the counters.
     if (reason && m_engine.m_observer.on_closed) {
         const auto index = static_cast<std::size_t>(*reason);
         m_engine.m_observer.on_closed(*reason, m_engine.m_close_reports.due(index, now()));
     }
+    node.mapped()->close_socket();
+    m_budget.close(id);
 }
 
 void server::engine::listener::shutdown()
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -126,7 +126,8 @@
 class fixture {
 public:
     explicit fixture(budget_limits share = {}, connection_limits limits = {})
-        : m_server({[this](close_reason reason, bool) { ++closed.at(static_cast<std::size_t>(reason)); }, {}})
+        : m_server(
+              {[this](close_reason reason, bool) { ++m_closed.at(static_cast<std::size_t>(reason)); }, {}})
     {
         for (int i = 0; i < 2; ++i) {
             const auto failed =
@@ -145,13 +146,16 @@
         m_server.respond(id, answer);
     }
 
-    std::size_t closed_for(close_reason reason) const { return closed.at(static_cast<std::size_t>(reason)); }
+    std::size_t closed_for(close_reason reason) const
+    {
+        return m_closed.at(static_cast<std::size_t>(reason));
+    }
     server& subject() { return m_server; }
 
     recorder requests;
 
 private:
-    std::array<std::atomic<std::size_t>, close_reason_count> closed{};
+    std::array<std::atomic<std::size_t>, close_reason_count> m_closed{};
     server m_server;
 };
 
