workers: grant no grace in a pool that is taken during an evacuation

The time in which started jobs may start their remaining tasks began anew with each holder of a pool, also seconds after the order: a holder that drops its pool after a pause, or a successor, could start tasks later than the order allows. Only a holder that had the pool when the order became known grants it now. The new test fails with the former way of telling a new pool (set_evacuated).

A need greater than every worker is counted as refused_no_worker; it was counted as refused_too_late.

--- a/source/ctl/evacuations.cpp
+++ b/source/ctl/evacuations.cpp
@@ -1,7 +1,9 @@
 #include "ctl/evacuations.h"
 
+#include <algorithm>
 #include <charconv>
 #include <map>
+#include <optional>
 
 namespace poplarshed::ctl {
 
--- a/source/instance/pool_host.cpp
+++ b/source/instance/pool_host.cpp
@@ -86,10 +86,10 @@
     options.lease = std::min(options.lease, m_options.longest_lease);
     options.stop_time = m_options.stop_time;
     options.remote_slowdown = m_options.remote_slowdown;
+    options.evacuated = m_evacuated.contains(routing::data_centre_of(pool));
     m_last_run = options.first_run_number;
     auto created = std::make_unique<workers::pool>(options, now);
     created->on_directory_completeness(m_complete);
-    created->set_evacuated(now, m_evacuated.contains(routing::data_centre_of(pool)));
     created->on_directory(now, entries);
     m_pools.insert_or_assign(pool, std::move(created));
     m_outputs.on_held_changed(now);
--- a/source/workers/pool.h
+++ b/source/workers/pool.h
@@ -33,6 +33,7 @@
     /// Time that a worker needs to stop a run after it has acknowledged the command.
     milliseconds stop_time{50};
     double remote_slowdown = 3;  ///< factor on the duration of a task that runs remote from its data
+    bool evacuated = false;      ///< the data centre was evacuated before the pool was taken
 };
 
 /// Maximum number of moves of a job between pools; further moves cost more than they gain.
@@ -40,7 +41,8 @@
 
 /// Jobs that have started may start their remaining tasks for this time after an evacuation became known:
 /// mostly they wait for room that their own runs leave. An order must take effect within five seconds of its
-/// acknowledgement, and may be known here up to 3.2 s after it, when a watch has gone silent.
+/// acknowledgement, and may be known here up to 3.2 s after it, when a watch has gone silent. A pool that is
+/// taken during an evacuation has no such time: the age of the order is not known.
 inline constexpr milliseconds evacuation_grace{500};
 
 /// Manages the workers of a pool: admits jobs, starts their tasks, renews leases and processes the ends of
--- a/source/workers/pool_jobs.cpp
+++ b/source/workers/pool_jobs.cpp
@@ -24,7 +24,11 @@
 
 pool::pool(pool_options options, time_point now)
     : m_options(std::move(options)), m_created(now), m_last_run(m_options.first_run_number)
-{}
+{
+    if (m_options.evacuated) {
+        m_evacuated_at = now - evacuation_grace;
+    }
+}
 
 pool::~pool() = default;
 
@@ -297,7 +301,7 @@
 void pool::refuse(time_point now, const job_record& job, refusal_reason reason, milliseconds retry_after,
                   milliseconds predicted)
 {
-    const bool no_worker = reason == refusal_reason::no_runners;
+    const bool no_worker = reason == refusal_reason::no_runners || reason == refusal_reason::impossible;
     record(no_worker ? decision::refused_no_worker : decision::refused_too_late, job.offer.job, {},
            std::string(to_string(reason)), predicted, elapsed(job.useful_until, now));
     job_result result = make_result(job, job_end::refused);
--- a/tests/workers/evacuation_test.cpp
+++ b/tests/workers/evacuation_test.cpp
@@ -99,6 +99,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_the_pool_is_taken_meanwhile)
+
+// Guards against starts long after the order: a new holder cannot tell how old the order is, and the time for
+// remaining tasks must not begin anew with each hand-over.
+BOOST_AUTO_TEST_CASE(a_started_job_starts_nothing_more)
+{
+    const time_point now{seconds(1000)};
+    pool_options values = pool_fixture::options();
+    values.evacuated = true;
+    pool taken(values, now);
+    taken.on_directory_completeness(true);
+    taken.on_directory(now, {pool_fixture::entry(0)});
+    listing idle;
+    idle.worker = pool_fixture::entry(0).id;
+    idle.incarnation = 1;
+    idle.clock_ms = 5000;
+    taken.on_listing(now, idle);
+    job_offer started = pool_fixture::offer("a", 1);
+    started.may_have_run = true;
+    taken.on_offer(now, started.owner, started);
+    taken.on_tick(now);
+    std::vector<job_end> ends;
+    for (const action& item : taken.take_actions()) {
+        BOOST_TEST(!std::holds_alternative<start_command>(item));
+        if (const auto* out = std::get_if<owner_notification>(&item)) {
+            ends.push_back(std::get<job_result>(out->message).end);
+        }
+    }
+    BOOST_TEST((ends == std::vector<job_end>{job_end::gave_up}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_it_is_taken_back)
 
 // Guards against workers that stay unused after the end of an evacuation.
