--- a/review/stand_ins_3/cancelled_job.cpp
+++ b/review/stand_ins_3/cancelled_job.cpp
@@ -1,4 +1,4 @@
-// Case 11: a caller's job is cancelled while another instance than the one that gets the DELETE serves it.
+// Case 12: a caller's job is cancelled while another instance than the one that gets the DELETE serves it.
 // Arguments: the record file, and 0 to leave the disruption out.
 
 #include "deployment.h"
--- a/review/stand_ins_3/deployment.h
+++ b/review/stand_ins_3/deployment.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // A small deployment of poplarshed-instance on loopback with the project's stand-ins of the users' platform:
-// its store and its workers. Used by the scripts of review/11 and later cases.
+// its store and its workers. Used by the scripts of review/11 to review/15.
 
 #include <sys/types.h>
 
@@ -29,6 +29,7 @@
 inline constexpr milliseconds resend_delay{1300};      // retransmit_ms
 inline constexpr milliseconds heartbeat{1500};         // heartbeat_ms
 inline constexpr int grace_ms = 6000;                  // grace_s
+inline constexpr std::size_t memory_mb = 260;          // limits.memory_mb
 
 /// Writes lines with their time to record.txt and to standard output.
 class record {
@@ -88,6 +89,11 @@
     bool wait_ready(milliseconds limit);
     int callers_port(std::size_t index) const { return m_instances.at(index).callers; }
     pid_t pid(std::size_t index) const { return m_instances.at(index).process; }
+    /// Bytes in memory of an instance; 0 if it does not run.
+    std::size_t resident(std::size_t index) const;
+    /// Kills an instance, as the platform does above its memory, and starts it again a short time later.
+    void kill_and_restart(std::size_t index);
+    bool is_ready(std::size_t index) const;
     std::vector<stand_ins::observed_start> starts();
     std::size_t running();
 
