--- a/review/stand_ins_3/deployment.cpp
+++ b/review/stand_ins_3/deployment.cpp
@@ -21,6 +21,7 @@
 constexpr const char* program = "target/bin/poplarshed-instance";  // deploy/system.toml, roles.instance.run
 constexpr const char* data_centre = "ollur";
 constexpr milliseconds step{5};
+constexpr milliseconds restart_delay{300};
 
 // Instances listen on a loopback address of this run's own, so that no outgoing connection of another process
 // takes a port while an instance is down.
@@ -222,7 +223,7 @@
          {{"name", "front-" + std::to_string(index)},
           {"data_centre", data_centre},
           {"cpu_share", 0.25},
-          {"memory_mb", 260},
+          {"memory_mb", memory_mb},
           {"max_fds", 4100}}},
         {"callers", {{"listen", loopback(one.callers)}, {"time_limit_header", "Poplarshed-Timeout-Ms"}}},
         {"readiness", {{"listen", loopback(one.ready)}}},
@@ -264,11 +265,34 @@
     }
 }
 
+bool deployment::is_ready(std::size_t index) const
+{
+    return request(m_instances.at(index).ready, "GET", "/readyz", "", milliseconds(500)).finish().status == 200;
+}
+
+std::size_t deployment::resident(std::size_t index) const
+{
+    std::ifstream file("/proc/" + std::to_string(pid(index)) + "/statm");
+    std::size_t total = 0;
+    std::size_t pages = 0;
+    file >> total >> pages;
+    return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+void deployment::kill_and_restart(std::size_t index)
+{
+    instance& one = m_instances.at(index);
+    ::kill(one.process, SIGKILL);
+    ::waitpid(one.process, nullptr, 0);
+    std::this_thread::sleep_for(restart_delay);
+    start(index);
+}
+
 bool deployment::wait_ready(milliseconds limit)
 {
     const auto until = clock::now() + limit;
-    for (const instance& one : m_instances) {
-        while (request(one.ready, "GET", "/readyz", "", milliseconds(500)).finish().status != 200) {
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        while (!is_ready(i)) {
             if (clock::now() >= until) {
                 return false;
             }
