--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -18,6 +18,6 @@
 for pid in "${pids[@]}"; do
   wait "$pid"
 done
-for program in cancelled_job overtaking_cancel legal_crowd; do
+for program in legal_crowd overtaking_cancel; do
   g++ "${flags[@]}" "review/stand_ins_3/$program.cpp" "${objects[@]}" -o "$out/$program" -lcrypto -lpthread
 done
--- a/review/stand_ins_3/overtaking_cancel.cpp
+++ b/review/stand_ins_3/overtaking_cancel.cpp
@@ -1,4 +1,4 @@
-// Case 13: a caller cancels its job while the instance that has got the POST stands still; the cancelling is
+// Case 12: a caller cancels its job while the instance that has got the POST stands still; the cancelling is
 // read first. Arguments: the record file, and 0 to leave the disruption out.
 
 #include <csignal>
