--- a/review/stand_ins_3/deployment.cpp
+++ b/review/stand_ins_3/deployment.cpp
@@ -40,6 +40,53 @@
     return address;
 }
 
+int connect_to(int port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = address_of(port);
+    ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    return socket;
+}
+
+bool send_request(int socket, const std::string& method, const std::string& path, const std::string& body,
+                  milliseconds wait)
+{
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\n";
+    text += "Poplarshed-Timeout-Ms: " + std::to_string(wait.count()) + "\r\n";
+    if (!body.empty()) {
+        text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    text += "\r\n" + body;
+    return ::send(socket, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+}
+
+answer read_answer(int socket, milliseconds wait)
+{
+    const auto until = clock::now() + wait;
+    std::string text;
+    while (true) {
+        const auto left = std::chrono::duration_cast<milliseconds>(until - clock::now()).count();
+        pollfd state{socket, POLLIN, 0};
+        if (left <= 0 || ::poll(&state, 1, static_cast<int>(left)) <= 0) {
+            return {0, "", clock::now()};
+        }
+        char buffer[4096];
+        const ssize_t count = ::recv(socket, buffer, sizeof buffer, 0);
+        if (count <= 0) {
+            return {0, "", clock::now()};
+        }
+        text.append(buffer, static_cast<std::size_t>(count));
+        const auto head_end = text.find("\r\n\r\n");
+        const auto length_at = text.find("Content-Length: ");
+        if (head_end != std::string::npos && length_at < head_end) {
+            const auto length = std::strtoul(text.c_str() + length_at + 16, nullptr, 10);
+            if (text.size() >= head_end + 4 + length) {
+                return {std::atoi(text.c_str() + 9), text.substr(head_end + 4, length), clock::now()};
+            }
+        }
+    }
+}
+
 json configuration()
 {
     return {{"version", 1},
@@ -93,56 +140,29 @@
     return ntohs(address.sin_port);
 }
 
+open_connection::open_connection(int port) : m_socket(connect_to(port)) {}
+
+open_connection::~open_connection()
+{
+    ::close(m_socket);
+}
+
+answer open_connection::call(const std::string& method, const std::string& path, const std::string& body,
+                             milliseconds wait)
+{
+    return send_request(m_socket, method, path, body, wait) ? read_answer(m_socket, wait)
+                                                            : answer{0, "", clock::now()};
+}
+
 request::request(int port, const std::string& method, const std::string& path, const std::string& body,
                  milliseconds wait)
-    : m_answer(m_promise.get_future())
+    : m_socket(connect_to(port)), m_answer(m_promise.get_future())
 {
-    m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = address_of(port);
-    if (::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    if (!send_request(m_socket, method, path, body, wait)) {
         m_promise.set_value({0, "", clock::now()});
         return;
     }
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\n";
-    text += "Poplarshed-Timeout-Ms: " + std::to_string(wait.count()) + "\r\n";
-    if (!body.empty()) {
-        text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-    }
-    text += "\r\n" + body;
-    if (::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size())) {
-        m_promise.set_value({0, "", clock::now()});
-        return;
-    }
-    m_reader = std::jthread([this, wait] { read_all(wait); });
-}
-
-void request::read_all(milliseconds wait)
-{
-    const auto until = clock::now() + wait;
-    std::string text;
-    while (true) {
-        const auto left = std::chrono::duration_cast<milliseconds>(until - clock::now()).count();
-        pollfd state{m_socket, POLLIN, 0};
-        if (left <= 0 || ::poll(&state, 1, static_cast<int>(left)) <= 0) {
-            break;
-        }
-        char buffer[4096];
-        const ssize_t count = ::recv(m_socket, buffer, sizeof buffer, 0);
-        if (count <= 0) {
-            break;
-        }
-        text.append(buffer, static_cast<std::size_t>(count));
-        const auto head_end = text.find("\r\n\r\n");
-        const auto length_at = text.find("Content-Length: ");
-        if (head_end != std::string::npos && length_at < head_end) {
-            const auto length = std::strtoul(text.c_str() + length_at + 16, nullptr, 10);
-            if (text.size() >= head_end + 4 + length) {
-                m_promise.set_value({std::atoi(text.c_str() + 9), text.substr(head_end + 4, length), clock::now()});
-                return;
-            }
-        }
-    }
-    m_promise.set_value({0, "", clock::now()});
+    m_reader = std::jthread([this, wait] { m_promise.set_value(read_answer(m_socket, wait)); });
 }
 
 answer request::finish()
@@ -150,16 +170,6 @@
     return m_answer.get();
 }
 
-void request::reset()
-{
-    const linger now{1, 0};
-    ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    // The reader holds no copy of the descriptor, so closing resets the connection at once.
-    sockaddr unspecified{};
-    unspecified.sa_family = AF_UNSPEC;
-    ::connect(m_socket, &unspecified, sizeof unspecified);
-}
-
 request::~request()
 {
     if (m_socket >= 0) {
--- a/review/stand_ins_3/deployment.h
+++ b/review/stand_ins_3/deployment.h
@@ -49,6 +49,20 @@
     clock::time_point at;
 };
 
+/// An open connection of a caller, on which it sends one request after the other.
+class open_connection {
+public:
+    explicit open_connection(int port);
+    ~open_connection();
+    open_connection(const open_connection&) = delete;
+    open_connection& operator=(const open_connection&) = delete;
+    /// Sends a request and waits for its answer.
+    answer call(const std::string& method, const std::string& path, const std::string& body, milliseconds wait);
+
+private:
+    int m_socket = -1;
+};
+
 /// A request of a caller on a connection of its own.
 class request {
 public:
@@ -59,14 +73,9 @@
     request& operator=(const request&) = delete;
     /// Waits for the answer, at most for the time that the caller waits.
     answer finish();
-    /// Resets the connection.
-    void reset();
 
 private:
-    void read_all(milliseconds wait);
-
     int m_socket = -1;
-    std::mutex m_mutex;
     std::promise<answer> m_promise;
     std::future<answer> m_answer;
     std::jthread m_reader;
--- a/review/stand_ins_3/overtaking_cancel.cpp
+++ b/review/stand_ins_3/overtaking_cancel.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr const char* job = "7b1d3c90a4e2f865";
-constexpr int steps = 400;
-constexpr int step_ms = 40;
+constexpr int steps = 30;
+constexpr int step_ms = 500;
 constexpr milliseconds caller_waits{30'000};
 // The front selects an instance by a hash of the client: this client's is the first one.
 constexpr std::size_t hashed = 0;
@@ -49,30 +49,31 @@
     const std::string path = std::string("/p/") + job;
     const std::string text = body();
     // The instance is at work when it is stopped, as on any day with traffic.
-    request usual(world.callers_port(hashed), "POST", "/p/7b1d3c90a4e2f864",
-                  json{{"spec", "60"},
-                       {"best_effort", true},
-                       {"steps", {{{"count", 2}, {"cpu", 1000}, {"mem_mb", 64}, {"estimate_ms", 60}}}}}
-                      .dump(),
-                  milliseconds(4000));
-    out.line("client: a usual job at front-0: " + shown(usual.finish()));
+    open_connection open(world.callers_port(hashed));
+    const std::string usual = json{{"spec", "60"},
+                                   {"best_effort", true},
+                                   {"steps", {{{"count", 2}, {"cpu", 1000}, {"mem_mb", 64}, {"estimate_ms", 60}}}}}
+                                  .dump();
+    out.line("client: a usual job at front-0, on a connection that stays open: " +
+             shown(open.call("POST", "/p/7b1d3c90a4e2f864", usual, milliseconds(4000))));
     if (trouble) {
         ::kill(world.pid(hashed), SIGSTOP);
         out.line("disruption: front-0 stands still (SIGSTOP)");
     }
     std::this_thread::sleep_for(freeze_before_post);
     request post(world.callers_port(hashed), "POST", path, text, caller_waits);
-    out.line("client: POST " + path + " to front-0 (" + std::to_string(steps) + " steps of " +
+    out.line("client: POST " + path + " to front-0, on a new connection (" + std::to_string(steps) + " steps of " +
              std::to_string(step_ms) + " ms, one after the other; " + std::to_string(text.size()) + " bytes)");
     std::this_thread::sleep_for(post_before_cancel);
-    request cancel(world.callers_port(hashed), "DELETE", path, "", milliseconds(4000));
-    out.line("client: DELETE " + path + " to front-0");
+    auto cancel = std::async(std::launch::async,
+                             [&] { return open.call("DELETE", path, "", milliseconds(4000)); });
+    out.line("client: DELETE " + path + " to front-0, on the open connection");
     std::this_thread::sleep_for(cancel_before_thaw);
     if (trouble) {
         ::kill(world.pid(hashed), SIGCONT);
         out.line("front-0 goes on (SIGCONT)");
     }
-    const answer cancelled = cancel.finish();
+    const answer cancelled = cancel.get();
     out.line("client: DELETE answered: " + shown(cancelled));
     if (cancelled.status != 410 && cancelled.status / 100 != 2) {
         out.line("the cancelling was not acknowledged");
@@ -91,7 +92,7 @@
         late += after > cancel_bound ? 1 : 0;
         // The freeze ended before the answer, so that front-0 is in touch contact_time after it at the latest.
         in_touch += after > cancel_bound && after > contact_time ? 1 : 0;
-        if (after > cancel_bound && (late <= 3 || late % 50 == 0)) {
+        if (after > cancel_bound && (late <= 3 || late % 5 == 0)) {
             out.line("runner " + std::to_string(start.worker) + " started " + start.task + " " +
                      std::to_string(after.count()) + " ms after the cancelling was acknowledged");
         }
