--- a/review/stand_ins_3/legal_crowd.cpp
+++ b/review/stand_ins_3/legal_crowd.cpp
@@ -9,8 +9,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
-#include <atomic>
+#include <cerrno>
 
 #include "deployment.h"
 
@@ -18,8 +19,8 @@
 
 namespace {
 
-// An eighth of the connections that an instance takes (callers.limits.connections, 2,050 with 4,100 descriptors
-// would be possible): one job on each.
+// About a fifth of the connections that an instance takes (callers.limits.connections: 2,050 with 4,100
+// descriptors); one job on each.
 constexpr std::size_t crowd = 450;
 constexpr std::size_t most_steps = 1300;  // README.md: up to 1,300 tasks
 constexpr std::size_t after_steps = 28;
