--- a/review/stand_ins_3/deployment.cpp
+++ b/review/stand_ins_3/deployment.cpp
@@ -129,15 +129,23 @@
     std::cout << time << text << std::endl;
 }
 
-int free_port()
+std::vector<int> free_ports(std::size_t count)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = address_of(0);
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(socket);
-    return ntohs(address.sin_port);
+    // All are held until the last one is chosen, so that none is chosen twice.
+    std::vector<int> sockets;
+    std::vector<int> ports;
+    for (std::size_t i = 0; i < count; ++i) {
+        sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in address = address_of(0);
+        ::bind(sockets.back(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+        socklen_t size = sizeof address;
+        ::getsockname(sockets.back(), reinterpret_cast<sockaddr*>(&address), &size);
+        ports.push_back(ntohs(address.sin_port));
+    }
+    for (const int socket : sockets) {
+        ::close(socket);
+    }
+    return ports;
 }
 
 open_connection::open_connection(int port) : m_socket(connect_to(port)) {}
@@ -195,11 +203,13 @@
     m_store.put("op/config", configuration());
     stand_ins::net::co_spawn(m_io, advance(), stand_ins::net::detached);
     m_thread = std::jthread([this] { m_io.run(); });
-    for (instance& one : m_instances) {
-        one.callers = free_port();
-        one.ready = free_port();
-        one.peers = free_port();
-        one.metrics = free_port();
+    const std::vector<int> ports = free_ports(4 * m_instances.size());
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        instance& one = m_instances[i];
+        one.callers = ports[4 * i];
+        one.ready = ports[4 * i + 1];
+        one.peers = ports[4 * i + 2];
+        one.metrics = ports[4 * i + 3];
     }
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         start(i);
--- a/review/stand_ins_3/deployment.h
+++ b/review/stand_ins_3/deployment.h
@@ -81,8 +81,8 @@
     std::jthread m_reader;
 };
 
-/// Free port on the loopback address of this run.
-int free_port();
+/// Free ports on the loopback address of this run, all different.
+std::vector<int> free_ports(std::size_t count);
 /// Address of such a port, as ip:port.
 std::string loopback(int port);
 
--- a/review/stand_ins_3/overtaking_cancel.cpp
+++ b/review/stand_ins_3/overtaking_cancel.cpp
@@ -40,7 +40,8 @@
 
 int run(record& out, bool trouble)
 {
-    deployment world(out, 3, 6);
+    // As many as the site has, so that the freeze of one is the share that its entry gives there.
+    deployment world(out, 6, 6);
     if (!world.wait_ready(milliseconds(15'000))) {
         out.line("an instance does not become ready");
         return 2;
